--- /dev/null
+++ b/src/codec/job_cbor.cpp
@@ -0,0 +1,226 @@
+/**
+ * @file job_cbor.cpp Stored rows of jobs in CBOR.
+ *
+ * Rows are arrays; the first element is the format's version. A task is one
+ * number that holds run, failures and state, followed by the index of its
+ * runner where it is placed and by its checkpoint where it has one.
+ */
+
+#include "codec/job_cbor.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace bronze {
+
+namespace {
+
+using Json = nlohmann::json;
+using sched::JobSpec;
+using sched::StepSpec;
+using sched::StoredOccurrence;
+using sched::StoredState;
+using sched::StoredTask;
+
+constexpr int kFormat = 1;
+
+/** State of a task in two bits; Open is split by whether it has a checkpoint.
+ */
+enum TaskCode : uint64_t { Open = 0, Placed = 1, Done = 2, Resumable = 3 };
+constexpr uint64_t kMaxFailures = 63;
+
+std::string ToBytes(const Json& aJson) {
+  std::string bytes;
+  Json::to_cbor(aJson, bytes);
+  return bytes;
+}
+
+/** Runs aRead on the decoded array; any wrong type becomes an error. */
+template <class T, class Read>
+Result<T> Decode(std::string_view aBytes, std::string_view aWhat, Read aRead) {
+  try {
+    const Json json = Json::from_cbor(aBytes.begin(), aBytes.end());
+    if (json.at(0).get<int>() != kFormat) {
+      return MakeError(ErrorKind::PeerMalformed,
+                       fmt::format("{} has an unknown format", aWhat));
+    }
+    return aRead(json);
+  } catch (const Json::exception& error) {
+    return MakeError(ErrorKind::PeerMalformed,
+                     fmt::format("{} cannot be read: {}", aWhat, error.what()));
+  }
+}
+
+Json StepJson(const StepSpec& aStep) {
+  const int flags = (aStep.m_savesProgress ? 1 : 0) | (aStep.m_gang ? 2 : 0) |
+                    (aStep.m_sameRack ? 4 : 0) | (aStep.m_speculative ? 8 : 0) |
+                    (aStep.m_longRunning ? 16 : 0) | (aStep.m_fills ? 32 : 0);
+  return Json::array(
+      {aStep.m_count, aStep.m_need.m_cores.Value(),
+       aStep.m_need.m_memory.Value(), aStep.m_need.m_accelerators.Value(),
+       aStep.m_estimate.count(), aStep.m_after, flags, aStep.m_requiredLabel,
+       aStep.m_affinityRack, aStep.m_image, aStep.m_antiAffinity,
+       aStep.m_mayMiss, aStep.m_tailTarget.count()});
+}
+
+StepSpec StepFrom(const Json& aJson) {
+  StepSpec step;
+  step.m_count = aJson.at(0).get<uint32_t>();
+  step.m_need = {Millicores(aJson.at(1).get<int64_t>()),
+                 Mebibytes(aJson.at(2).get<int64_t>()),
+                 Accelerators(aJson.at(3).get<int64_t>())};
+  step.m_estimate = Duration(aJson.at(4).get<int64_t>());
+  step.m_after = aJson.at(5).get<std::vector<uint32_t>>();
+  const int flags = aJson.at(6).get<int>();
+  step.m_savesProgress = (flags & 1) != 0;
+  step.m_gang = (flags & 2) != 0;
+  step.m_sameRack = (flags & 4) != 0;
+  step.m_speculative = (flags & 8) != 0;
+  step.m_longRunning = (flags & 16) != 0;
+  step.m_fills = (flags & 32) != 0;
+  step.m_requiredLabel = aJson.at(7).get<std::string>();
+  step.m_affinityRack = aJson.at(8).get<std::string>();
+  step.m_image = aJson.at(9).get<std::string>();
+  step.m_antiAffinity = aJson.at(10).get<uint32_t>();
+  step.m_mayMiss = aJson.at(11).get<uint32_t>();
+  step.m_tailTarget = Duration(aJson.at(12).get<int64_t>());
+  return step;
+}
+
+JobSpec SpecFrom(const Json& aJson) {
+  JobSpec spec;
+  spec.m_id = JobId(aJson.at(1).get<uint64_t>());
+  spec.m_queue = sched::QueueId(aJson.at(2).get<std::string>());
+  spec.m_policy.m_service = sched::ServiceId(aJson.at(3).get<std::string>());
+  spec.m_policy.m_priority = aJson.at(4).get<int>();
+  spec.m_policy.m_maxAttempts = aJson.at(5).get<uint32_t>();
+  spec.m_policy.m_stretch = aJson.at(6).get<double>();
+  spec.m_policy.m_targetLatency = Duration(aJson.at(7).get<int64_t>());
+  spec.m_payload = aJson.at(8).get<std::string>();
+  spec.m_maxRuns = aJson.at(9).get<uint32_t>();
+  spec.m_startTime = sched::UnixMillis(aJson.at(10).get<int64_t>());
+  spec.m_intervalMs = aJson.at(11).get<int64_t>();
+  spec.m_acceptedAt = sched::UnixMillis(aJson.at(12).get<int64_t>());
+  for (const Json& step : aJson.at(13)) spec.m_steps.push_back(StepFrom(step));
+  return spec;
+}
+
+TaskCode CodeOf(const StoredTask& aTask) {
+  switch (aTask.m_state) {
+    case StoredTask::State::Placed:
+      return TaskCode::Placed;
+    case StoredTask::State::Done:
+      return TaskCode::Done;
+    case StoredTask::State::Open:
+      break;
+  }
+  return aTask.m_checkpoint.empty() ? TaskCode::Open : TaskCode::Resumable;
+}
+
+Json OccurrenceJson(const StoredOccurrence& aOccurrence) {
+  std::map<RunnerId, size_t> indexes;
+  Json runners = Json::array();
+  Json tasks = Json::array();
+  for (const StoredTask& task : aOccurrence.m_tasks) {
+    const TaskCode code = CodeOf(task);
+    const uint64_t failures = std::min<uint64_t>(task.m_failures, kMaxFailures);
+    tasks.push_back(task.m_run.Value() << 8 | failures << 2 | code);
+    if (code == TaskCode::Placed) {
+      const auto [at, isNew] = indexes.emplace(task.m_runner, indexes.size());
+      if (isNew) runners.push_back(task.m_runner.Value());
+      tasks.push_back(at->second);
+    }
+    if (code == TaskCode::Resumable) tasks.push_back(task.m_checkpoint);
+  }
+  return Json::array({aOccurrence.m_number, runners, tasks});
+}
+
+StoredOccurrence OccurrenceFrom(const Json& aJson) {
+  StoredOccurrence occurrence;
+  occurrence.m_number = aJson.at(0).get<uint32_t>();
+  const Json& runners = aJson.at(1);
+  const Json& tasks = aJson.at(2);
+  for (size_t at = 0; at < tasks.size(); ++at) {
+    const auto number = tasks.at(at).get<uint64_t>();
+    StoredTask task;
+    task.m_run = sched::RunNumber(number >> 8);
+    task.m_failures = static_cast<uint32_t>(number >> 2 & kMaxFailures);
+    switch (number & 3) {
+      case TaskCode::Placed:
+        task.m_state = StoredTask::State::Placed;
+        task.m_runner = RunnerId(
+            runners.at(tasks.at(++at).get<size_t>()).get<std::string>());
+        break;
+      case TaskCode::Done:
+        task.m_state = StoredTask::State::Done;
+        break;
+      case TaskCode::Resumable:
+        task.m_checkpoint = tasks.at(++at).get<std::string>();
+        break;
+      default:
+        break;
+    }
+    occurrence.m_tasks.push_back(std::move(task));
+  }
+  return occurrence;
+}
+
+}  // namespace
+
+std::string EncodeJobSpec(const JobSpec& aSpec) {
+  Json steps = Json::array();
+  for (const StepSpec& step : aSpec.m_steps) steps.push_back(StepJson(step));
+  return ToBytes(
+      Json::array({kFormat, aSpec.m_id.Value(), aSpec.m_queue.Value(),
+                   aSpec.m_policy.m_service.Value(), aSpec.m_policy.m_priority,
+                   aSpec.m_policy.m_maxAttempts, aSpec.m_policy.m_stretch,
+                   aSpec.m_policy.m_targetLatency.count(), aSpec.m_payload,
+                   aSpec.m_maxRuns, aSpec.m_startTime.Value(),
+                   aSpec.m_intervalMs, aSpec.m_acceptedAt.Value(), steps}));
+}
+
+Result<JobSpec> DecodeJobSpec(std::string_view aBytes) {
+  return Decode<JobSpec>(aBytes, "job", SpecFrom);
+}
+
+std::string EncodeJobState(const StoredState& aState) {
+  Json occurrences = Json::array();
+  for (const StoredOccurrence& occurrence : aState.m_occurrences) {
+    occurrences.push_back(OccurrenceJson(occurrence));
+  }
+  return ToBytes(Json::array(
+      {kFormat, aState.m_job.Value(), static_cast<int>(aState.m_phase),
+       aState.m_nextOccurrence, aState.m_anyStarted, occurrences}));
+}
+
+Result<StoredState> DecodeJobState(std::string_view aBytes) {
+  return Decode<StoredState>(aBytes, "state of a job", [](const Json& aJson) {
+    StoredState state;
+    state.m_job = JobId(aJson.at(1).get<uint64_t>());
+    state.m_phase = static_cast<sched::JobPhase>(aJson.at(2).get<int>());
+    state.m_nextOccurrence = aJson.at(3).get<uint32_t>();
+    state.m_anyStarted = aJson.at(4).get<bool>();
+    for (const Json& occurrence : aJson.at(5)) {
+      state.m_occurrences.push_back(OccurrenceFrom(occurrence));
+    }
+    return state;
+  });
+}
+
+std::string EncodeOwnerRow(const OwnerRow& aRow) {
+  return ToBytes(Json::array({kFormat, aRow.m_vm, aRow.m_incarnation,
+                              aRow.m_address, aRow.m_sequence}));
+}
+
+Result<OwnerRow> DecodeOwnerRow(std::string_view aBytes) {
+  return Decode<OwnerRow>(aBytes, "owner row", [](const Json& aJson) {
+    return OwnerRow{aJson.at(1).get<std::string>(), aJson.at(2).get<uint64_t>(),
+                    aJson.at(3).get<std::string>(),
+                    aJson.at(4).get<uint64_t>()};
+  });
+}
+
+}  // namespace bronze
--- /dev/null
+++ b/src/codec/peer_call_cbor.h
@@ -0,0 +1,44 @@
+/**
+ * @file peer_call_cbor.h Calls between daemons on behalf of callers: one daemon
+ * has the caller's connection, another owns the job's cell.
+ */
+
+#ifndef BRONZE_CODEC_PEER_CALL_CBOR_H_
+#define BRONZE_CODEC_PEER_CALL_CBOR_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/error/error_type.h"
+#include "core/sched/job_cmd.h"
+
+namespace bronze {
+
+using CellId = NumberId<struct CellIdTag, uint32_t>;
+
+enum class PeerVerb : uint8_t { Submit, LookUp, Cancel, CountPending };
+
+struct PeerCall {
+  PeerVerb m_verb = PeerVerb::LookUp;
+  CellId m_cell;
+  JobId m_job;
+  sched::QueueId m_queue;
+  Duration m_window{};    ///< How long the sender waits.
+  sched::JobSpec m_spec;  ///< Only with Submit.
+};
+
+struct PeerAnswer {
+  std::optional<Error> m_error;
+  sched::JobState m_state = sched::JobState::Queued;  ///< With LookUp.
+  uint64_t m_count = 0;                               ///< With CountPending.
+};
+
+[[nodiscard]] std::string EncodePeerCall(const PeerCall& aCall);
+[[nodiscard]] Result<PeerCall> DecodePeerCall(std::string_view aBytes);
+[[nodiscard]] std::string EncodePeerAnswer(const PeerAnswer& aAnswer);
+[[nodiscard]] Result<PeerAnswer> DecodePeerAnswer(std::string_view aBytes);
+
+}  // namespace bronze
+
+#endif  // BRONZE_CODEC_PEER_CALL_CBOR_H_
--- /dev/null
+++ b/src/core/sched/cell_base.h
@@ -0,0 +1,123 @@
+/**
+ * @file cell_base.h State of one cell: a set of runners and a set of jobs that
+ * one entry VM schedules while it owns the cell.
+ *
+ * The owner rebuilds everything here from the stored rows and the runners'
+ * reports. What must last goes to the store through TakeCommit (commit_cmd.h)
+ * before an order that depends on it is sent.
+ */
+
+#ifndef BRONZE_CORE_SCHED_CELL_BASE_H_
+#define BRONZE_CORE_SCHED_CELL_BASE_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/sched/job_type.h"
+#include "core/sched/runner_type.h"
+
+namespace bronze::sched {
+
+/** Limits and weights of the policy. Defaults are for a lease of 10 s. */
+struct CellSettings {
+  Duration m_lease = seconds(7);      ///< Ordered with each renewal.
+  Duration m_maxLease = seconds(10);  ///< The runner shortens longer ones.
+  Duration m_stopTimeout = milliseconds(400);  ///< A stop takes at most this.
+  Duration m_statusRetention = seconds(150);   ///< Ended jobs stay known.
+  /** Wait of a renewal for an end, where no tails have to be watched. */
+  Duration m_holdWait = milliseconds(1500);
+  /** The same where tasks that fill run beside tasks that serve: it bounds the
+   *  age of the measured tails. */
+  Duration m_watchWait = milliseconds(400);
+  /** A task without progress for this and half its estimate is moved. */
+  Duration m_stallTime = milliseconds(2500);
+  uint32_t m_failuresToQuarantine = 3;
+  Duration m_quarantine = seconds(4);
+  /** Part of the runners that may be in quarantine at once. */
+  double m_quarantineShare = 0.3;
+  /** Share of declared cores that a serving task uses on average, until
+   *  measured. */
+  double m_servingUse = 0.6;
+  double m_paceDownAt = 0.85;  ///< Tail over target that lowers the pace.
+  double m_paceUpAt = 0.6;     ///< Tail over target that raises the pace.
+  /** Steps of the queue looked at in one pass without finding a place. */
+  uint32_t m_maxMisses = 48;
+  uint32_t m_maxOpenJobs = 20000;  ///< More are refused.
+};
+
+struct StartOrder {
+  TaskKey m_task;
+  RunNumber m_run;
+  RunnerIndex m_runner;
+  std::string m_checkpoint;
+};
+struct StopOrder {
+  TaskKey m_task;
+  RunNumber m_run;
+  RunnerIndex m_runner;
+};
+struct PaceOrder {
+  TaskKey m_task;
+  RunNumber m_run;
+  RunnerIndex m_runner;
+  int m_percent = 100;
+};
+
+/** A line of the log, with the ids and inputs that a person needs. */
+struct Decision {
+  std::string m_text;
+};
+
+using Order = std::variant<StartOrder, StopOrder, PaceOrder, Decision>;
+
+/** Position in the queue of steps that have tasks to place. */
+struct QueueKey {
+  int m_priority = 0;
+  TimePoint m_due;
+  JobId m_job;
+  uint32_t m_occurrence = 0;
+  uint32_t m_step = 0;
+
+  friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
+};
+
+/** Counts for metrics and for answers about a queue. */
+struct CellCounts {
+  uint64_t m_accepted = 0;
+  uint64_t m_completed = 0;
+  uint64_t m_failed = 0;
+  uint64_t m_cancelled = 0;
+  uint64_t m_starts = 0;
+  uint64_t m_stops = 0;
+  uint64_t m_paces = 0;
+  uint64_t m_endsByKind[6] = {};  ///< Indexed by EndKind.
+  uint64_t m_lapsedRunners = 0;
+  uint64_t m_stalledTasks = 0;
+  uint64_t m_quarantines = 0;
+  uint64_t m_rejectedStarts = 0;
+};
+
+struct Cell {
+  CellSettings m_settings;
+  FencingToken m_fence;  ///< Of this term; rises with each owner.
+  std::unordered_map<JobId, Job> m_jobs;
+  std::vector<Runner> m_runners;  ///< Never shrinks within a term.
+  std::map<RunnerId, RunnerIndex> m_runnerByName;
+  std::set<QueueKey> m_queue;  ///< Steps with at least one task in Ready.
+  std::set<JobId> m_dirty;     ///< m_version > m_storedVersion.
+  std::set<std::pair<UnixMillis, JobId>> m_scheduled;  ///< Next due times.
+  std::set<std::pair<TimePoint, JobId>> m_ended;       ///< For removal.
+  std::vector<JobId> m_removed;           ///< Rows to delete from the store.
+  std::vector<Order> m_orders;            ///< To be sent, in order.
+  std::map<QueueId, uint32_t> m_pending;  ///< Jobs of which nothing started.
+  bool m_capacityChanged = true;  ///< A pass over the queue may find a place.
+  CellCounts m_counts;
+};
+
+}  // namespace bronze::sched
+
+#endif  // BRONZE_CORE_SCHED_CELL_BASE_H_
--- /dev/null
+++ b/src/core/sched/commit_cmd.cpp
@@ -0,0 +1,232 @@
+/**
+ * @file commit_cmd.cpp What of a cell must last.
+ */
+
+#include "core/sched/commit_cmd.h"
+
+#include <algorithm>
+
+#include "core/sched/runner_cmd.h"
+#include "core/sched/schedule_cmd.h"
+#include "core/sched/task_internal.h"
+
+namespace bronze::sched {
+
+namespace {
+
+StoredTask StoredOf(const Cell& aCell, const Task& aTask) {
+  StoredTask stored;
+  stored.m_run = aTask.m_run;
+  stored.m_failures = aTask.m_failures;
+  if (aTask.m_phase == TaskPhase::Done) {
+    stored.m_state = StoredTask::State::Done;
+  } else if (HasPlace(aTask.m_phase)) {
+    stored.m_state = StoredTask::State::Placed;
+    stored.m_runner = aCell.m_runners[aTask.m_runner.Value()].m_entry.m_id;
+  } else {
+    stored.m_checkpoint = aTask.m_checkpoint;
+  }
+  return stored;
+}
+
+bool WasPlaced(const Occurrence& aOccurrence) {
+  return std::any_of(aOccurrence.m_tasks.begin(), aOccurrence.m_tasks.end(),
+                     [](const Task& aTask) { return aTask.m_run.Value() > 0; });
+}
+
+StoredState StateOf(const Cell& aCell, const Job& aJob) {
+  StoredState state;
+  state.m_job = aJob.m_spec.m_id;
+  state.m_phase = aJob.m_phase;
+  state.m_nextOccurrence = aJob.m_nextOccurrence;
+  state.m_anyStarted = aJob.m_anyStarted;
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    StoredOccurrence stored;
+    stored.m_number = number;
+    // Tasks of an ended job matter only while a run of theirs may go on.
+    const bool placed =
+        std::any_of(occurrence.m_tasks.begin(), occurrence.m_tasks.end(),
+                    [](const Task& aTask) { return HasPlace(aTask.m_phase); });
+    if (aJob.m_phase != JobPhase::Active && !placed) continue;
+    if (WasPlaced(occurrence)) {
+      for (const Task& task : occurrence.m_tasks) {
+        stored.m_tasks.push_back(StoredOf(aCell, task));
+      }
+    }
+    state.m_occurrences.push_back(std::move(stored));
+  }
+  return state;
+}
+
+}  // namespace
+
+namespace {
+
+/** Bounds the bytes of one commit, at some 20 bytes a task. */
+constexpr size_t kMaxTasksPerCommit = 10000;
+
+size_t TaskCount(const Job& aJob) {
+  size_t count = 0;
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    count += occurrence.m_tasks.size();
+  }
+  return count;
+}
+
+}  // namespace
+
+Commit TakeCommit(Cell& aCell, size_t aMaxJobs) {
+  Commit commit;
+  size_t tasks = 0;
+  while (!aCell.m_dirty.empty() && commit.m_writes.size() < aMaxJobs &&
+         tasks < kMaxTasksPerCommit) {
+    const JobId id = *aCell.m_dirty.begin();
+    aCell.m_dirty.erase(aCell.m_dirty.begin());
+    const auto found = aCell.m_jobs.find(id);
+    if (found == aCell.m_jobs.end()) continue;
+    const Job& job = found->second;
+    tasks += TaskCount(job);
+    JobWrite write{id, job.m_version, {}, StateOf(aCell, job)};
+    if (!job.m_specStored) write.m_spec = job.m_spec;
+    commit.m_writes.push_back(std::move(write));
+  }
+  while (!aCell.m_removed.empty() && commit.m_removed.size() < aMaxJobs) {
+    commit.m_removed.push_back(aCell.m_removed.back());
+    aCell.m_removed.pop_back();
+  }
+  return commit;
+}
+
+void ApplyCommitted(Cell& aCell, const Commit& aCommit, TimePoint aNow) {
+  for (const JobWrite& write : aCommit.m_writes) {
+    const auto found = aCell.m_jobs.find(write.m_job);
+    if (found == aCell.m_jobs.end()) continue;
+    found->second.m_specStored = true;
+    found->second.m_storedVersion = write.m_version;
+    OrderStarts(aCell, write.m_job, aNow);
+  }
+  for (Runner& runner : aCell.m_runners) {
+    if (!runner.m_unstoredEnds.empty()) ReleaseStoredEnds(aCell, runner, aNow);
+  }
+}
+
+void ReturnCommit(Cell& aCell, const Commit& aCommit) {
+  for (const JobWrite& write : aCommit.m_writes) {
+    aCell.m_dirty.insert(write.m_job);
+  }
+  aCell.m_removed.insert(aCell.m_removed.end(), aCommit.m_removed.begin(),
+                         aCommit.m_removed.end());
+}
+
+namespace {
+
+void RestoreTask(Cell& aCell, const TaskKey& aKey, const StoredTask& aStored,
+                 TimePoint aNow) {
+  const TaskPlace place = FindTask(aCell, aKey);
+  Task& task = *place.m_task;
+  task.m_run = aStored.m_run;
+  task.m_failures = aStored.m_failures;
+  task.m_checkpoint = aStored.m_checkpoint;
+  task.m_phaseSince = aNow;
+  switch (aStored.m_state) {
+    case StoredTask::State::Open:
+      return;
+    case StoredTask::State::Done:
+      task.m_phase = TaskPhase::Done;
+      --place.m_occurrence->m_left[aKey.m_step];
+      return;
+    case StoredTask::State::Placed:
+      Reserve(aCell, aKey, *place.m_step, task,
+              RunnerByName(aCell, aStored.m_runner, aNow));
+      task.m_phase = TaskPhase::Recovering;
+      return;
+  }
+}
+
+/** Puts the open tasks whose predecessors are done into the queue. */
+void RestoreQueue(Cell& aCell, Job& aJob, uint32_t aNumber) {
+  Occurrence& occurrence = aJob.m_occurrences.at(aNumber);
+  for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
+    const StepSpec& spec = aJob.m_spec.m_steps[step];
+    const bool open = std::all_of(
+        spec.m_after.begin(), spec.m_after.end(),
+        [&](uint32_t aEarlier) { return occurrence.m_left[aEarlier] == 0; });
+    bool queued = false;
+    for (uint32_t i = 0; i < spec.m_count; ++i) {
+      Task& task = occurrence.m_tasks[aJob.m_stepOffset[step] + i];
+      if (task.m_phase == TaskPhase::Ready && !open) {
+        task.m_phase = TaskPhase::Blocked;
+      }
+      if (task.m_phase == TaskPhase::Blocked && open) {
+        task.m_phase = TaskPhase::Ready;
+      }
+      queued = queued || task.m_phase == TaskPhase::Ready;
+    }
+    const QueueKey key = QueueKeyOf(aJob, aNumber, step);
+    if (queued) {
+      aCell.m_queue.insert(key);
+    } else {
+      aCell.m_queue.erase(key);
+    }
+  }
+}
+
+void RestoreOccurrence(Cell& aCell, Job& aJob, const StoredOccurrence& aStored,
+                       TimePoint aNow, UnixMillis aUnixNow) {
+  BeginOccurrence(aCell, aJob, aStored.m_number, aNow);
+  Occurrence& occurrence = aJob.m_occurrences.at(aStored.m_number);
+  // The queue's order follows the objective, so the time that the job has
+  // waited already counts.
+  if (aJob.m_spec.m_maxRuns == 0) {
+    for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
+      aCell.m_queue.erase(QueueKeyOf(aJob, aStored.m_number, step));
+    }
+    const int64_t waited =
+        std::max<int64_t>(0, (aUnixNow - aJob.m_spec.m_acceptedAt).Value());
+    occurrence.m_due -= milliseconds(waited);
+  }
+  uint32_t at = 0;
+  for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
+    for (uint32_t i = 0; i < aJob.m_spec.m_steps[step].m_count; ++i, ++at) {
+      if (at >= aStored.m_tasks.size()) continue;
+      RestoreTask(aCell, {aJob.m_spec.m_id, aStored.m_number, step, i},
+                  aStored.m_tasks[at], aNow);
+    }
+  }
+  RestoreQueue(aCell, aJob, aStored.m_number);
+}
+
+}  // namespace
+
+void RestoreJob(Cell& aCell, JobSpec aSpec, const StoredState& aState,
+                TimePoint aNow, UnixMillis aUnixNow) {
+  const JobId id = aSpec.m_id;
+  Job& job = aCell.m_jobs[id];
+  job.m_spec = std::move(aSpec);
+  job.m_specStored = true;
+  job.m_storedVersion = job.m_version;
+  job.m_anyStarted = aState.m_anyStarted;
+  IndexSteps(job);
+  for (const StoredOccurrence& occurrence : aState.m_occurrences) {
+    RestoreOccurrence(aCell, job, occurrence, aNow, aUnixNow);
+  }
+  job.m_nextOccurrence = aState.m_nextOccurrence;
+  if (aState.m_phase != JobPhase::Active) {
+    EndJob(aCell, job, aState.m_phase, aNow);
+    // The end is durable already; only new facts have to be stored.
+    job.m_storedVersion = job.m_version;
+    aCell.m_dirty.erase(id);
+    return;
+  }
+  if (job.m_spec.m_maxRuns == 0) {
+    if (!job.m_anyStarted) ++aCell.m_pending[job.m_spec.m_queue];
+  } else if (job.m_nextOccurrence < job.m_spec.m_maxRuns) {
+    aCell.m_scheduled.emplace(
+        UnixMillis(job.m_spec.m_startTime.Value() +
+                   job.m_spec.m_intervalMs *
+                       static_cast<int64_t>(job.m_nextOccurrence)),
+        id);
+  }
+}
+
+}  // namespace bronze::sched
--- /dev/null
+++ b/src/core/sched/job_cmd.cpp
@@ -0,0 +1,197 @@
+/**
+ * @file job_cmd.cpp Commands of callers on jobs: submit, cancel, look up.
+ */
+
+#include "core/sched/job_cmd.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "core/sched/task_internal.h"
+
+namespace bronze::sched {
+
+namespace {
+
+/** Whether the steps can be put in an order in which each follows its
+ *  predecessors. */
+bool HasCycle(const std::vector<StepSpec>& aSteps) {
+  std::vector<bool> placed(aSteps.size(), false);
+  for (size_t pass = 0; pass < aSteps.size(); ++pass) {
+    bool any = false;
+    for (size_t step = 0; step < aSteps.size(); ++step) {
+      if (placed[step]) continue;
+      const auto& after = aSteps[step].m_after;
+      if (std::all_of(after.begin(), after.end(),
+                      [&](uint32_t aEarlier) { return placed[aEarlier]; })) {
+        placed[step] = true;
+        any = true;
+      }
+    }
+    if (!any) break;
+  }
+  return std::find(placed.begin(), placed.end(), false) != placed.end();
+}
+
+}  // namespace
+
+Result<void> CheckJob(const JobSpec& aSpec) {
+  const auto& steps = aSpec.m_steps;
+  if (steps.empty() || steps.size() > kMaxSteps) {
+    return MakeError(ErrorKind::BadJob,
+                     fmt::format("a job has 1 to {} steps, this one {}",
+                                 kMaxSteps, steps.size()));
+  }
+  uint64_t tasks = 0;
+  for (const StepSpec& step : steps) {
+    tasks += step.m_count;
+    if (step.m_count == 0) {
+      return MakeError(ErrorKind::BadJob, "a step has no tasks");
+    }
+    for (const uint32_t earlier : step.m_after) {
+      if (earlier >= steps.size()) {
+        return MakeError(
+            ErrorKind::BadJob,
+            fmt::format("a step comes after step {}, which does not exist",
+                        earlier));
+      }
+    }
+  }
+  if (tasks > kMaxTasksPerJob) {
+    return MakeError(ErrorKind::BadJob,
+                     fmt::format("a job has at most {} tasks, this one {}",
+                                 kMaxTasksPerJob, tasks));
+  }
+  if (HasCycle(steps)) {
+    return MakeError(ErrorKind::BadJob, "the steps wait for each other");
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<StoredWhen> SubmitJob(Cell& aCell, JobSpec aSpec, TimePoint aNow,
+                             UnixMillis aUnixNow) {
+  const JobId id = aSpec.m_id;
+  const auto known = aCell.m_jobs.find(id);
+  if (known != aCell.m_jobs.end()) {
+    return StoredWhen{id, known->second.m_specStored
+                              ? known->second.m_storedVersion
+                              : known->second.m_version};
+  }
+  if (aCell.m_jobs.size() - aCell.m_ended.size() >=
+      aCell.m_settings.m_maxOpenJobs) {
+    return MakeError(ErrorKind::QueueFull, "too many open jobs");
+  }
+  Job& job = aCell.m_jobs[id];
+  job.m_spec = std::move(aSpec);
+  job.m_spec.m_acceptedAt = aUnixNow;
+  IndexSteps(job);
+  Touch(aCell, job);
+  ++aCell.m_counts.m_accepted;
+  if (job.m_spec.m_maxRuns == 0) {
+    ++aCell.m_pending[job.m_spec.m_queue];
+    BeginOccurrence(aCell, job, 0, aNow);
+  } else {
+    aCell.m_scheduled.emplace(job.m_spec.m_startTime, id);
+  }
+  return StoredWhen{id, job.m_version};
+}
+
+Result<StoredWhen> CancelJob(Cell& aCell, JobId aJob, TimePoint aNow) {
+  const auto found = aCell.m_jobs.find(aJob);
+  if (found == aCell.m_jobs.end()) {
+    return MakeError(ErrorKind::UnknownJob, "no such job");
+  }
+  EndJob(aCell, found->second, JobPhase::Cancelled, aNow);
+  return StoredWhen{aJob, found->second.m_version};
+}
+
+Result<JobState> LookUpJob(const Cell& aCell, JobId aJob) {
+  const auto found = aCell.m_jobs.find(aJob);
+  if (found == aCell.m_jobs.end() || !found->second.m_specStored) {
+    return MakeError(ErrorKind::UnknownJob, "no such job");
+  }
+  const Job& job = found->second;
+  const JobState open = job.m_anyStarted ? JobState::Running : JobState::Queued;
+  if (job.m_storedVersion < job.m_version && job.m_phase != JobPhase::Active) {
+    return open;
+  }
+  switch (job.m_phase) {
+    case JobPhase::Active:
+      return open;
+    case JobPhase::Completed:
+      return JobState::Completed;
+    case JobPhase::Failed:
+      return JobState::Failed;
+    case JobPhase::Cancelled:
+      return JobState::Cancelled;
+  }
+  return open;
+}
+
+uint32_t PendingJobs(const Cell& aCell, const QueueId& aQueue) {
+  const auto found = aCell.m_pending.find(aQueue);
+  return found == aCell.m_pending.end() ? 0 : found->second;
+}
+
+namespace {
+
+void BeginDueOccurrences(Cell& aCell, TimePoint aNow, UnixMillis aUnixNow) {
+  while (!aCell.m_scheduled.empty() &&
+         aCell.m_scheduled.begin()->first <= aUnixNow) {
+    const JobId id = aCell.m_scheduled.begin()->second;
+    aCell.m_scheduled.erase(aCell.m_scheduled.begin());
+    const auto found = aCell.m_jobs.find(id);
+    if (found == aCell.m_jobs.end()) continue;
+    Job& job = found->second;
+    if (job.m_phase != JobPhase::Active) continue;
+    const uint32_t number = job.m_nextOccurrence;
+    if (number >= job.m_spec.m_maxRuns) continue;
+    BeginOccurrence(aCell, job, number, aNow);
+    Touch(aCell, job);
+    if (job.m_nextOccurrence < job.m_spec.m_maxRuns) {
+      aCell.m_scheduled.emplace(
+          UnixMillis(job.m_spec.m_startTime.Value() +
+                     job.m_spec.m_intervalMs *
+                         static_cast<int64_t>(job.m_nextOccurrence)),
+          id);
+    }
+  }
+}
+
+bool HasPlacedTask(const Job& aJob) {
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (const Task& task : occurrence.m_tasks) {
+      if (HasPlace(task.m_phase)) return true;
+    }
+  }
+  return false;
+}
+
+void RemoveOldJobs(Cell& aCell, TimePoint aNow) {
+  while (!aCell.m_ended.empty() &&
+         aCell.m_ended.begin()->first + aCell.m_settings.m_statusRetention <
+             aNow) {
+    const JobId id = aCell.m_ended.begin()->second;
+    aCell.m_ended.erase(aCell.m_ended.begin());
+    const auto found = aCell.m_jobs.find(id);
+    if (found == aCell.m_jobs.end()) continue;
+    if (HasPlacedTask(found->second) ||
+        found->second.m_storedVersion < found->second.m_version) {
+      aCell.m_ended.emplace(aNow, id);
+      continue;
+    }
+    aCell.m_dirty.erase(id);
+    aCell.m_removed.push_back(id);
+    aCell.m_jobs.erase(found);
+  }
+}
+
+}  // namespace
+
+void AdvanceJobs(Cell& aCell, TimePoint aNow, UnixMillis aUnixNow) {
+  BeginDueOccurrences(aCell, aNow, aUnixNow);
+  RemoveOldJobs(aCell, aNow);
+}
+
+}  // namespace bronze::sched
--- /dev/null
+++ b/src/core/sched/placement_func.h
@@ -0,0 +1,43 @@
+/**
+ * @file placement_func.h Chooses the runner for a task. The score is a free
+ * function over the runner's state, so that policies can be compared.
+ */
+
+#ifndef BRONZE_CORE_SCHED_PLACEMENT_FUNC_H_
+#define BRONZE_CORE_SCHED_PLACEMENT_FUNC_H_
+
+#include <functional>
+
+#include "core/sched/cell_base.h"
+
+namespace bronze::sched {
+
+/** Whether new work may go to the runner at all. */
+[[nodiscard]] bool IsUsable(const Runner& aRunner, const ServiceId& aService,
+                            TimePoint aNow);
+
+/** Whether the task's need fits beside what is reserved there. */
+[[nodiscard]] bool HasRoom(const Runner& aRunner, const StepSpec& aStep);
+
+/** @return a figure to compare runners by; the highest is the best place. */
+[[nodiscard]] double Score(const CellSettings& aSettings, const Runner& aRunner,
+                           const StepSpec& aStep);
+
+/** What one search needs beside the runners. */
+struct PlacementQuery {
+  const StepSpec* m_step = nullptr;
+  ServiceId m_service;
+  RunnerIndex m_avoid;  ///< Taken only if nothing else has room.
+  std::string m_rack;   ///< Preferred rack; empty: any.
+  /** Tasks of the same step on that runner, for anti-affinity. */
+  std::function<uint32_t(RunnerIndex)> m_sameStep;
+};
+
+/** @return the best runner; invalid when none has room. */
+[[nodiscard]] RunnerIndex ChooseRunner(const Cell& aCell,
+                                       const PlacementQuery& aQuery,
+                                       TimePoint aNow);
+
+}  // namespace bronze::sched
+
+#endif  // BRONZE_CORE_SCHED_PLACEMENT_FUNC_H_
--- /dev/null
+++ b/src/core/sched/runner_internal.h
@@ -0,0 +1,24 @@
+/**
+ * @file runner_internal.h Parts that the runner commands share.
+ */
+
+#ifndef BRONZE_CORE_SCHED_RUNNER_INTERNAL_H_
+#define BRONZE_CORE_SCHED_RUNNER_INTERNAL_H_
+
+#include "core/sched/cell_base.h"
+#include "core/sched/task_internal.h"
+
+namespace bronze::sched {
+
+/** Another life of the runner has begun: all that it ran is gone. */
+void ForgetLife(Cell& aCell, Runner& aRunner, TimePoint aNow);
+
+/** Notes a lease end that may come into force. */
+void NoteDeadline(Runner& aRunner, RunnerMillis aDeadline);
+
+/** The runner has confirmed the current run of the task. */
+void ConfirmRun(Cell& aCell, const TaskPlace& aPlace, TimePoint aNow);
+
+}  // namespace bronze::sched
+
+#endif  // BRONZE_CORE_SCHED_RUNNER_INTERNAL_H_
--- /dev/null
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -0,0 +1,288 @@
+/**
+ * @file runner_report_cmd.cpp The lists of runs and ends in a runner's report.
+ */
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "core/sched/pacing_func.h"
+#include "core/sched/runner_cmd.h"
+#include "core/sched/runner_internal.h"
+
+namespace bronze::sched {
+
+namespace {
+
+/** Weight of the newest run in a runner's slowness. */
+constexpr double kSlownessWeight = 0.25;
+/** One run counts as at most so many times its estimate; estimates are rough
+ *  and a few runs are much longer than the rest. */
+constexpr double kSlownessCap = 6.0;
+
+void NoteSuccess(Runner& aRunner, const TaskPlace& aPlace, TimePoint aNow) {
+  aRunner.m_failuresInRow = 0;
+  aRunner.m_quarantineCount = 0;
+  const Duration estimate = aPlace.m_step->m_estimate;
+  if (estimate.count() <= 0 || aPlace.m_step->m_fills) return;
+  const double ratio = std::min(
+      kSlownessCap,
+      static_cast<double>((aNow - aPlace.m_task->m_phaseSince).count()) /
+          static_cast<double>(estimate.count()));
+  aRunner.m_slowness += kSlownessWeight * (ratio - aRunner.m_slowness);
+}
+
+size_t QuarantinedRunners(const Cell& aCell, TimePoint aNow) {
+  return static_cast<size_t>(
+      std::count_if(aCell.m_runners.begin(), aCell.m_runners.end(),
+                    [aNow](const Runner& aRunner) {
+                      return aRunner.m_quarantineCount > 0 &&
+                             aRunner.m_quarantinedUntil > aNow;
+                    }));
+}
+
+void Quarantine(Cell& aCell, Runner& aRunner, TimePoint aNow,
+                std::string_view aReason) {
+  const auto limit =
+      static_cast<size_t>(aCell.m_settings.m_quarantineShare *
+                          static_cast<double>(aCell.m_runners.size()));
+  if (QuarantinedRunners(aCell, aNow) >= limit) return;
+  aRunner.m_quarantineCount = std::min(aRunner.m_quarantineCount + 1, 3U);
+  aRunner.m_quarantinedUntil =
+      aNow + aCell.m_settings.m_quarantine * aRunner.m_quarantineCount;
+  // One failure of the probe after the quarantine is enough to repeat it.
+  aRunner.m_failuresInRow = aCell.m_settings.m_failuresToQuarantine - 1;
+  ++aCell.m_counts.m_quarantines;
+  LogDecision(aCell, fmt::format("quarantine runner={} by={} count={}",
+                                 aRunner.m_entry.m_id.Value(), aReason,
+                                 aRunner.m_quarantineCount));
+}
+
+void FailTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+              const EndRow& aEnd, Runner& aRunner, TimePoint aNow) {
+  Task& task = *aPlace.m_task;
+  ++task.m_failures;
+  Touch(aCell, *aPlace.m_job);
+  if (++aRunner.m_failuresInRow >= aCell.m_settings.m_failuresToQuarantine) {
+    Quarantine(aCell, aRunner, aNow, "failures");
+  }
+  const bool isCurrent = HasPlace(task.m_phase) && task.m_run == aEnd.m_run;
+  if (isCurrent) {
+    task.m_avoid = task.m_runner;
+    Requeue(aCell, aKey, aPlace, aNow);
+  }
+  if (aPlace.m_step->m_longRunning) return;
+  if (task.m_failures >= aPlace.m_job->m_spec.m_policy.m_maxAttempts) {
+    LogDecision(aCell, fmt::format("job failed task={} failures={}",
+                                   TaskText(aKey), task.m_failures));
+    EndJob(aCell, *aPlace.m_job, JobPhase::Failed, aNow);
+  }
+}
+
+/** One member's success is that of the whole gang. */
+void FinishStep(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+                TimePoint aNow) {
+  if (!aPlace.m_step->m_gang) {
+    FinishTask(aCell, aKey, aPlace, aNow);
+    return;
+  }
+  for (uint32_t index = 0; index < aPlace.m_step->m_count; ++index) {
+    TaskKey key = aKey;
+    key.m_index = index;
+    const TaskPlace place = FindTask(aCell, key);
+    if (place.m_task != nullptr) FinishTask(aCell, key, place, aNow);
+  }
+}
+
+/** The task has ended once; a copy or later run elsewhere is needless. */
+void StopOtherRun(Cell& aCell, const TaskKey& aKey, const Task& aTask,
+                  RunnerIndex aRunner, RunNumber aRun) {
+  if (!HasPlace(aTask.m_phase)) return;
+  if (aTask.m_runner == aRunner && aTask.m_run == aRun) return;
+  if (aTask.m_phase == TaskPhase::Intended) return;
+  ++aCell.m_counts.m_stops;
+  aCell.m_orders.emplace_back(StopOrder{aKey, aTask.m_run, aTask.m_runner});
+}
+
+void ApplyEnd(Cell& aCell, RunnerIndex aIndex, const EndRow& aEnd,
+              TimePoint aNow) {
+  Runner& runner = aCell.m_runners[aIndex.Value()];
+  ++aCell.m_counts.m_endsByKind[static_cast<size_t>(aEnd.m_kind)];
+  const TaskPlace place = FindTask(aCell, aEnd.m_task);
+  if (place.m_task == nullptr) {
+    runner.m_unstoredEnds.push_back({aEnd.m_number, aEnd.m_task.m_job, 0});
+    return;
+  }
+  Task& task = *place.m_task;
+  const bool isCurrent = HasPlace(task.m_phase) && task.m_run == aEnd.m_run &&
+                         task.m_runner == aIndex;
+  if (aEnd.m_kind != EndKind::Done || !isCurrent) {
+    LogDecision(aCell,
+                fmt::format("end task={} run={} runner={} kind={} current={}",
+                            TaskText(aEnd.m_task), aEnd.m_run.Value(),
+                            runner.m_entry.m_id.Value(),
+                            static_cast<int>(aEnd.m_kind), isCurrent));
+  }
+  const bool canEnd = !place.m_step->m_longRunning;
+  if (aEnd.m_kind == EndKind::Done && canEnd) {
+    if (isCurrent && task.m_phase == TaskPhase::Running) {
+      NoteSuccess(runner, place, aNow);
+    }
+    StopOtherRun(aCell, aEnd.m_task, task, aIndex, aEnd.m_run);
+    FinishStep(aCell, aEnd.m_task, place, aNow);
+  } else if (aEnd.m_kind == EndKind::Failed &&
+             task.m_phase != TaskPhase::Done) {
+    FailTask(aCell, aEnd.m_task, place, aEnd, runner, aNow);
+  } else if (isCurrent) {
+    if (!aEnd.m_checkpoint.empty()) task.m_checkpoint = aEnd.m_checkpoint;
+    Requeue(aCell, aEnd.m_task, place, aNow);
+  }
+  runner.m_unstoredEnds.push_back(
+      {aEnd.m_number, aEnd.m_task.m_job, place.m_job->m_version});
+}
+
+/** The run is listed: it counts as confirmed, whatever became of the order. */
+void ApplyRunning(Cell& aCell, RunnerIndex aIndex, const RunningRow& aRow,
+                  TimePoint aNow) {
+  const TaskPlace place = FindTask(aCell, aRow.m_task);
+  const bool isCurrent =
+      place.m_task != nullptr && HasPlace(place.m_task->m_phase) &&
+      place.m_task->m_runner == aIndex && place.m_task->m_run == aRow.m_run;
+  if (!isCurrent) {
+    // A run that no stored intent asks for: an order carried out late, or one
+    // of a task that has ended since.
+    ++aCell.m_counts.m_stops;
+    aCell.m_orders.emplace_back(StopOrder{aRow.m_task, aRow.m_run, aIndex});
+    return;
+  }
+  Task& task = *place.m_task;
+  if (task.m_phase == TaskPhase::Starting ||
+      task.m_phase == TaskPhase::Recovering ||
+      (task.m_phase == TaskPhase::Unsure && !task.m_stopAnswered)) {
+    ConfirmRun(aCell, place, aNow);
+  }
+  if (!aRow.m_checkpoint.empty()) task.m_checkpoint = aRow.m_checkpoint;
+  // A task that lasts is at work when its percent is 100.
+  const bool atWork = place.m_step->m_longRunning && aRow.m_percent >= 100;
+  if (aRow.m_percent > task.m_percent || atWork) task.m_progressAt = aNow;
+  task.m_percent = aRow.m_percent;
+  task.m_measure = aRow.m_measure;
+}
+
+bool IsListed(const RunnerReport& aReport, const TaskKey& aKey,
+              RunNumber aRun) {
+  return std::any_of(aReport.m_running.begin(), aReport.m_running.end(),
+                     [&](const RunningRow& aRow) {
+                       return aRow.m_task == aKey && aRow.m_run == aRun;
+                     });
+}
+
+/** Whether a list that was asked for at aSentAt would show the run. */
+bool AbsenceCounts(const Task& aTask, TimePoint aSentAt) {
+  switch (aTask.m_phase) {
+    case TaskPhase::Recovering:
+      return true;
+    case TaskPhase::Running:
+      return aTask.m_phaseSince < aSentAt;
+    case TaskPhase::Unsure:
+    case TaskPhase::Stopping:
+      return aTask.m_stopAnswered && aTask.m_phaseSince < aSentAt;
+    default:
+      return false;
+  }
+}
+
+void RequeueAbsent(Cell& aCell, Runner& aRunner, const RunnerReport& aReport,
+                   TimePoint aSentAt, TimePoint aNow) {
+  const std::vector<TaskKey> keys = aRunner.m_tasks;
+  for (const TaskKey& key : keys) {
+    const TaskPlace place = FindTask(aCell, key);
+    if (place.m_task == nullptr) continue;
+    if (!AbsenceCounts(*place.m_task, aSentAt)) continue;
+    if (IsListed(aReport, key, place.m_task->m_run)) continue;
+    LogDecision(aCell, fmt::format("run absent task={} run={} runner={}",
+                                   TaskText(key), place.m_task->m_run.Value(),
+                                   aRunner.m_entry.m_id.Value()));
+    Requeue(aCell, key, place, aNow);
+  }
+}
+
+/** Moves tasks that stand still on a runner that looks sound. */
+void StopStalled(Cell& aCell, Runner& aRunner, TimePoint aNow) {
+  const std::vector<TaskKey> keys = aRunner.m_tasks;
+  for (const TaskKey& key : keys) {
+    const TaskPlace place = FindTask(aCell, key);
+    if (place.m_task == nullptr) continue;
+    Task& task = *place.m_task;
+    if (task.m_phase != TaskPhase::Running || aRunner.m_pace < 100) continue;
+    if (place.m_step->m_longRunning && task.m_percent >= 100) continue;
+    const Duration limit =
+        aCell.m_settings.m_stallTime + place.m_step->m_estimate / 2;
+    if (aNow - std::max(task.m_progressAt, task.m_phaseSince) < limit) continue;
+    ++aCell.m_counts.m_stalledTasks;
+    LogDecision(aCell,
+                fmt::format("stalled task={} run={} runner={} percent={}",
+                            TaskText(key), task.m_run.Value(),
+                            aRunner.m_entry.m_id.Value(), task.m_percent));
+    task.m_avoid = task.m_runner;
+    task.m_phase = TaskPhase::Stopping;
+    task.m_phaseSince = aNow;
+    OrderStop(aCell, key, task, aNow);
+    Quarantine(aCell, aRunner, aNow, "stall");
+  }
+}
+
+}  // namespace
+
+void ConfirmRun(Cell& aCell, const TaskPlace& aPlace, TimePoint aNow) {
+  Task& task = *aPlace.m_task;
+  task.m_phase = TaskPhase::Running;
+  task.m_phaseSince = aNow;
+  task.m_progressAt = aNow;
+  Job& job = *aPlace.m_job;
+  if (job.m_anyStarted) return;
+  job.m_anyStarted = true;
+  if (job.m_spec.m_maxRuns != 0) return;
+  auto& pending = aCell.m_pending[job.m_spec.m_queue];
+  if (pending > 0) --pending;
+}
+
+void ApplyReport(Cell& aCell, RunnerIndex aRunner, const RunnerReport& aReport,
+                 TimePoint aSentAt, TimePoint aNow) {
+  Runner& runner = aCell.m_runners[aRunner.Value()];
+  runner.m_holdPending = false;
+  runner.m_nextHoldAt = aNow;
+  runner.m_missedHolds = 0;
+  runner.m_refused = false;
+  if (aReport.m_born.Value() != 0) {
+    if (runner.m_entry.m_born.Value() != 0 &&
+        aReport.m_born != runner.m_entry.m_born) {
+      ForgetLife(aCell, runner, aNow);
+    }
+    runner.m_entry.m_born = aReport.m_born;
+  }
+  const bool firstContact = !runner.m_contacted;
+  runner.m_contacted = true;
+  runner.m_clock = aReport.m_clock;
+  runner.m_clockAt = aNow;
+  if (firstContact) {
+    // Without a renewal the lease that an earlier owner ordered goes on.
+    runner.m_lastDeadline = RunnerMillis();
+    if (!runner.m_tasks.empty()) OrderDeadline(aCell, runner, aNow);
+    aCell.m_capacityChanged = true;
+  }
+  for (const EndRow& end : aReport.m_ended) {
+    if (end.m_number <= runner.m_readEnd) continue;
+    runner.m_readEnd = end.m_number;
+    ApplyEnd(aCell, aRunner, end, aNow);
+  }
+  for (const RunningRow& row : aReport.m_running) {
+    ApplyRunning(aCell, aRunner, row, aNow);
+  }
+  RequeueAbsent(aCell, runner, aReport, aSentAt, aNow);
+  StopStalled(aCell, runner, aNow);
+  PaceRunner(aCell, aRunner, aNow);
+  ReleaseStoredEnds(aCell, runner, aNow);
+}
+
+}  // namespace bronze::sched
--- /dev/null
+++ b/src/core/sched/schedule_cmd.cpp
@@ -0,0 +1,190 @@
+/**
+ * @file schedule_cmd.cpp Passes over the queue.
+ */
+
+#include "core/sched/schedule_cmd.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "core/sched/placement_func.h"
+#include "core/sched/task_internal.h"
+
+namespace bronze::sched {
+
+namespace {
+
+uint32_t TasksOfStepOn(const Cell& aCell, const QueueKey& aKey,
+                       RunnerIndex aRunner) {
+  const auto& tasks = aCell.m_runners[aRunner.Value()].m_tasks;
+  return static_cast<uint32_t>(
+      std::count_if(tasks.begin(), tasks.end(), [&](const TaskKey& aTask) {
+        return aTask.m_job == aKey.m_job &&
+               aTask.m_occurrence == aKey.m_occurrence &&
+               aTask.m_step == aKey.m_step;
+      }));
+}
+
+void Intend(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+            RunnerIndex aRunner, RunNumber aRun, TimePoint aNow) {
+  Task& task = *aPlace.m_task;
+  Reserve(aCell, aKey, *aPlace.m_step, task, aRunner);
+  task.m_phase = TaskPhase::Intended;
+  task.m_phaseSince = aNow;
+  task.m_run = aRun;
+  task.m_percent = 0;
+  task.m_stopAnswered = false;
+  Touch(aCell, *aPlace.m_job);
+  task.m_intentVersion = aPlace.m_job->m_version;
+}
+
+/** Undoes an intent that was made in this pass. */
+void Withdraw(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace) {
+  Release(aCell, aKey, *aPlace.m_step, *aPlace.m_task);
+  aPlace.m_task->m_phase = TaskPhase::Ready;
+}
+
+PlacementQuery QueryFor(const Cell& aCell, const QueueKey& aKey,
+                        const Job& aJob, const StepSpec& aStep) {
+  PlacementQuery query;
+  query.m_step = &aStep;
+  query.m_service = aJob.m_spec.m_policy.m_service;
+  query.m_rack = aStep.m_affinityRack;
+  query.m_sameStep = [&aCell, &aKey](RunnerIndex aRunner) {
+    return TasksOfStepOn(aCell, aKey, aRunner);
+  };
+  return query;
+}
+
+enum class StepResult : uint8_t { AllPlaced, SomeLeft, NonePlaced };
+
+/** A gang is placed whole or not at all; its members share one run number. */
+StepResult PlaceGang(Cell& aCell, const QueueKey& aKey, Job& aJob,
+                     const StepSpec& aStep, TimePoint aNow) {
+  RunNumber run;
+  for (uint32_t index = 0; index < aStep.m_count; ++index) {
+    const TaskPlace place =
+        FindTask(aCell, {aKey.m_job, aKey.m_occurrence, aKey.m_step, index});
+    if (place.m_task->m_phase != TaskPhase::Ready)
+      return StepResult::NonePlaced;
+    run = std::max(run, place.m_task->m_run);
+  }
+  run = run.Next();
+  // All members carry one checkpoint; any member's is that of the gang.
+  std::string checkpoint;
+  PlacementQuery query = QueryFor(aCell, aKey, aJob, aStep);
+  for (uint32_t index = 0; index < aStep.m_count; ++index) {
+    const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
+    const TaskPlace place = FindTask(aCell, key);
+    if (!place.m_task->m_checkpoint.empty()) {
+      checkpoint = place.m_task->m_checkpoint;
+    }
+    const RunnerIndex runner = ChooseRunner(aCell, query, aNow);
+    if (!runner.IsValid()) {
+      for (uint32_t earlier = 0; earlier < index; ++earlier) {
+        const TaskKey other{aKey.m_job, aKey.m_occurrence, aKey.m_step,
+                            earlier};
+        Withdraw(aCell, other, FindTask(aCell, other));
+      }
+      return StepResult::NonePlaced;
+    }
+    if (aStep.m_sameRack && query.m_rack.empty()) {
+      query.m_rack = aCell.m_runners[runner.Value()].m_rack;
+    }
+    Intend(aCell, key, place, runner, run, aNow);
+  }
+  for (uint32_t index = 0; index < aStep.m_count; ++index) {
+    FindTask(aCell, {aKey.m_job, aKey.m_occurrence, aKey.m_step, index})
+        .m_task->m_checkpoint = checkpoint;
+  }
+  return StepResult::AllPlaced;
+}
+
+/** The rack of a task of the step that has a place; empty: none has. */
+std::string RackOfStep(const Cell& aCell, const Job& aJob,
+                       const QueueKey& aKey) {
+  const Occurrence& occurrence = aJob.m_occurrences.at(aKey.m_occurrence);
+  const uint32_t first = aJob.m_stepOffset[aKey.m_step];
+  for (uint32_t i = 0; i < aJob.m_spec.m_steps[aKey.m_step].m_count; ++i) {
+    const Task& task = occurrence.m_tasks[first + i];
+    if (HasPlace(task.m_phase)) {
+      return aCell.m_runners[task.m_runner.Value()].m_rack;
+    }
+  }
+  return {};
+}
+
+StepResult PlaceStep(Cell& aCell, const QueueKey& aKey, TimePoint aNow) {
+  Job& job = aCell.m_jobs.at(aKey.m_job);
+  const StepSpec& step = job.m_spec.m_steps[aKey.m_step];
+  if (step.m_gang) return PlaceGang(aCell, aKey, job, step, aNow);
+  PlacementQuery query = QueryFor(aCell, aKey, job, step);
+  if (step.m_sameRack) query.m_rack = RackOfStep(aCell, job, aKey);
+  bool any = false;
+  for (uint32_t index = 0; index < step.m_count; ++index) {
+    const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
+    const TaskPlace place = FindTask(aCell, key);
+    if (place.m_task->m_phase != TaskPhase::Ready) continue;
+    query.m_avoid = place.m_task->m_avoid;
+    const RunnerIndex runner = ChooseRunner(aCell, query, aNow);
+    if (!runner.IsValid()) {
+      return any ? StepResult::SomeLeft : StepResult::NonePlaced;
+    }
+    if (step.m_sameRack && query.m_rack.empty()) {
+      query.m_rack = aCell.m_runners[runner.Value()].m_rack;
+    }
+    Intend(aCell, key, place, runner, place.m_task->m_run.Next(), aNow);
+    any = true;
+  }
+  return StepResult::AllPlaced;
+}
+
+}  // namespace
+
+void PlaceTasks(Cell& aCell, TimePoint aNow) {
+  if (!aCell.m_capacityChanged) return;
+  aCell.m_capacityChanged = false;
+  uint32_t misses = 0;
+  for (auto at = aCell.m_queue.begin();
+       at != aCell.m_queue.end() && misses < aCell.m_settings.m_maxMisses;) {
+    const StepResult result = PlaceStep(aCell, *at, aNow);
+    if (result == StepResult::AllPlaced) {
+      at = aCell.m_queue.erase(at);
+      continue;
+    }
+    ++misses;
+    ++at;
+  }
+}
+
+void OrderStarts(Cell& aCell, JobId aJob, TimePoint aNow) {
+  const auto found = aCell.m_jobs.find(aJob);
+  if (found == aCell.m_jobs.end()) return;
+  Job& job = found->second;
+  if (job.m_phase != JobPhase::Active) return;
+  for (auto& [number, occurrence] : job.m_occurrences) {
+    for (uint32_t step = 0; step < job.m_spec.m_steps.size(); ++step) {
+      for (uint32_t i = 0; i < job.m_spec.m_steps[step].m_count; ++i) {
+        Task& task = occurrence.m_tasks[job.m_stepOffset[step] + i];
+        if (task.m_phase != TaskPhase::Intended ||
+            task.m_intentVersion > job.m_storedVersion) {
+          continue;
+        }
+        const TaskKey key{aJob, number, step, i};
+        const Runner& runner = aCell.m_runners[task.m_runner.Value()];
+        if (!IsUsable(runner, job.m_spec.m_policy.m_service, aNow)) {
+          Requeue(aCell, key, FindTask(aCell, key), aNow);
+          continue;
+        }
+        task.m_phase = TaskPhase::Starting;
+        task.m_phaseSince = aNow;
+        ++aCell.m_counts.m_starts;
+        aCell.m_orders.emplace_back(
+            StartOrder{key, task.m_run, task.m_runner, task.m_checkpoint});
+      }
+    }
+  }
+}
+
+}  // namespace bronze::sched
--- /dev/null
+++ b/src/core/sched/task_internal.cpp
@@ -0,0 +1,271 @@
+/**
+ * @file task_internal.cpp Changes of one task that the commands share.
+ */
+
+#include "core/sched/task_internal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace bronze::sched {
+
+TaskPlace FindTask(Cell& aCell, const TaskKey& aKey) {
+  const auto job = aCell.m_jobs.find(aKey.m_job);
+  if (job == aCell.m_jobs.end()) return {};
+  const auto occurrence = job->second.m_occurrences.find(aKey.m_occurrence);
+  if (occurrence == job->second.m_occurrences.end()) return {};
+  const auto& steps = job->second.m_spec.m_steps;
+  if (aKey.m_step >= steps.size()) return {};
+  const StepSpec& step = steps[aKey.m_step];
+  if (aKey.m_index >= step.m_count) return {};
+  const uint32_t at = job->second.m_stepOffset[aKey.m_step] + aKey.m_index;
+  return {&job->second, &occurrence->second, &step,
+          &occurrence->second.m_tasks[at]};
+}
+
+void Touch(Cell& aCell, Job& aJob) {
+  ++aJob.m_version;
+  aCell.m_dirty.insert(aJob.m_spec.m_id);
+}
+
+QueueKey QueueKeyOf(const Job& aJob, uint32_t aOccurrence, uint32_t aStep) {
+  return {aJob.m_spec.m_policy.m_priority,
+          aJob.m_occurrences.at(aOccurrence).m_due, aJob.m_spec.m_id,
+          aOccurrence, aStep};
+}
+
+bool HasPlace(TaskPhase aPhase) {
+  return aPhase != TaskPhase::Blocked && aPhase != TaskPhase::Ready &&
+         aPhase != TaskPhase::Done;
+}
+
+void Reserve(Cell& aCell, const TaskKey& aKey, const StepSpec& aStep,
+             Task& aTask, RunnerIndex aRunner) {
+  Runner& runner = aCell.m_runners[aRunner.Value()];
+  aTask.m_runner = aRunner;
+  runner.m_tasks.push_back(aKey);
+  if (aStep.m_fills) {
+    runner.m_fillMemory += aStep.m_need.m_memory;
+    runner.m_fillDemand += aStep.m_need.m_cores;
+    return;
+  }
+  runner.m_reserved += aStep.m_need;
+  if (aStep.m_longRunning) runner.m_servingCores += aStep.m_need.m_cores;
+}
+
+void Release(Cell& aCell, const TaskKey& aKey, const StepSpec& aStep,
+             Task& aTask) {
+  Runner& runner = aCell.m_runners[aTask.m_runner.Value()];
+  std::erase(runner.m_tasks, aKey);
+  aTask.m_runner = RunnerIndex();
+  aTask.m_pace = 100;
+  aTask.m_measure = 0;
+  aCell.m_capacityChanged = true;
+  if (aStep.m_fills) {
+    runner.m_fillMemory -= aStep.m_need.m_memory;
+    runner.m_fillDemand -= aStep.m_need.m_cores;
+    return;
+  }
+  runner.m_reserved -= aStep.m_need;
+  if (aStep.m_longRunning) runner.m_servingCores -= aStep.m_need.m_cores;
+}
+
+void Requeue(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+             TimePoint aNow) {
+  Task& task = *aPlace.m_task;
+  if (HasPlace(task.m_phase)) Release(aCell, aKey, *aPlace.m_step, task);
+  task.m_phaseSince = aNow;
+  Touch(aCell, *aPlace.m_job);
+  if (aPlace.m_job->m_phase != JobPhase::Active) {
+    task.m_phase = TaskPhase::Blocked;
+    return;
+  }
+  task.m_phase = TaskPhase::Ready;
+  aCell.m_queue.insert(
+      QueueKeyOf(*aPlace.m_job, aKey.m_occurrence, aKey.m_step));
+  aCell.m_capacityChanged = true;
+}
+
+namespace {
+
+bool PredecessorsDone(const StepSpec& aStep, const Occurrence& aOccurrence) {
+  return std::all_of(
+      aStep.m_after.begin(), aStep.m_after.end(),
+      [&](uint32_t aEarlier) { return aOccurrence.m_left[aEarlier] == 0; });
+}
+
+/** Moves the tasks of steps whose predecessors are done to Ready. */
+void UnblockSteps(Cell& aCell, Job& aJob, uint32_t aNumber, TimePoint aNow) {
+  Occurrence& occurrence = aJob.m_occurrences.at(aNumber);
+  const auto& steps = aJob.m_spec.m_steps;
+  for (uint32_t step = 0; step < steps.size(); ++step) {
+    if (occurrence.m_left[step] == 0) continue;
+    Task* first = &occurrence.m_tasks[aJob.m_stepOffset[step]];
+    // The tasks of a step leave Blocked together.
+    if (first->m_phase != TaskPhase::Blocked) continue;
+    if (!PredecessorsDone(steps[step], occurrence)) continue;
+    for (uint32_t index = 0; index < steps[step].m_count; ++index) {
+      if (first[index].m_phase != TaskPhase::Blocked) continue;
+      first[index].m_phase = TaskPhase::Ready;
+      first[index].m_phaseSince = aNow;
+    }
+    aCell.m_queue.insert(QueueKeyOf(aJob, aNumber, step));
+    aCell.m_capacityChanged = true;
+  }
+}
+
+}  // namespace
+
+void FinishTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+                TimePoint aNow) {
+  Task& task = *aPlace.m_task;
+  if (task.m_phase == TaskPhase::Done) return;
+  if (HasPlace(task.m_phase)) Release(aCell, aKey, *aPlace.m_step, task);
+  task.m_phase = TaskPhase::Done;
+  task.m_phaseSince = aNow;
+  task.m_checkpoint.clear();
+  Job& job = *aPlace.m_job;
+  Touch(aCell, job);
+  Occurrence& occurrence = *aPlace.m_occurrence;
+  if (--occurrence.m_left[aKey.m_step] > 0) return;
+  if (job.m_phase != JobPhase::Active) return;
+  const bool allDone =
+      std::all_of(occurrence.m_left.begin(), occurrence.m_left.end(),
+                  [](uint32_t aLeft) { return aLeft == 0; });
+  if (!allDone) {
+    UnblockSteps(aCell, job, aKey.m_occurrence, aNow);
+    return;
+  }
+  // A job without a schedule keeps its tasks until the job is removed, so that
+  // an end that is listed twice still finds its task.
+  const bool isLast =
+      job.m_nextOccurrence >= std::max(job.m_spec.m_maxRuns, 1U);
+  if (job.m_spec.m_maxRuns > 1 && !(isLast && job.m_occurrences.size() == 1)) {
+    job.m_occurrences.erase(aKey.m_occurrence);
+    return;
+  }
+  if (isLast) EndJob(aCell, job, JobPhase::Completed, aNow);
+}
+
+void OrderStop(Cell& aCell, const TaskKey& aKey, Task& aTask, TimePoint aNow) {
+  aTask.m_stopOrderedAt = aNow;
+  aTask.m_stopAnswered = false;
+  ++aCell.m_counts.m_stops;
+  aCell.m_orders.emplace_back(StopOrder{aKey, aTask.m_run, aTask.m_runner});
+}
+
+namespace {
+
+/** Ends the task of a job that is no longer active. */
+void WithdrawTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+                  TimePoint aNow) {
+  Task& task = *aPlace.m_task;
+  switch (task.m_phase) {
+    case TaskPhase::Ready:
+    case TaskPhase::Blocked:
+      task.m_phase = TaskPhase::Blocked;
+      return;
+    case TaskPhase::Intended:
+      Release(aCell, aKey, *aPlace.m_step, task);
+      task.m_phase = TaskPhase::Blocked;
+      return;
+    case TaskPhase::Starting:
+    case TaskPhase::Running:
+    case TaskPhase::Unsure:
+    case TaskPhase::Recovering:
+      task.m_phase = TaskPhase::Stopping;
+      task.m_phaseSince = aNow;
+      OrderStop(aCell, aKey, task, aNow);
+      return;
+    case TaskPhase::Stopping:
+    case TaskPhase::Done:
+      return;
+  }
+}
+
+}  // namespace
+
+void EndJob(Cell& aCell, Job& aJob, JobPhase aPhase, TimePoint aNow) {
+  if (aJob.m_phase != JobPhase::Active) return;
+  if (!aJob.m_anyStarted && aJob.m_spec.m_maxRuns == 0) {
+    auto& pending = aCell.m_pending[aJob.m_spec.m_queue];
+    if (pending > 0) --pending;
+  }
+  aJob.m_phase = aPhase;
+  aJob.m_endedAt = aNow;
+  aCell.m_ended.emplace(aNow, aJob.m_spec.m_id);
+  Touch(aCell, aJob);
+  for (auto& [number, occurrence] : aJob.m_occurrences) {
+    for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
+      aCell.m_queue.erase(QueueKeyOf(aJob, number, step));
+      for (uint32_t index = 0; index < aJob.m_spec.m_steps[step].m_count;
+           ++index) {
+        const TaskKey key{aJob.m_spec.m_id, number, step, index};
+        WithdrawTask(aCell, key, FindTask(aCell, key), aNow);
+      }
+    }
+  }
+  if (aPhase == JobPhase::Completed) ++aCell.m_counts.m_completed;
+  if (aPhase == JobPhase::Failed) ++aCell.m_counts.m_failed;
+  if (aPhase == JobPhase::Cancelled) ++aCell.m_counts.m_cancelled;
+}
+
+void IndexSteps(Job& aJob) {
+  aJob.m_stepOffset.clear();
+  uint32_t offset = 0;
+  for (const StepSpec& step : aJob.m_spec.m_steps) {
+    aJob.m_stepOffset.push_back(offset);
+    offset += step.m_count;
+  }
+}
+
+void BeginOccurrence(Cell& aCell, Job& aJob, uint32_t aNumber, TimePoint aNow) {
+  Occurrence& occurrence = aJob.m_occurrences[aNumber];
+  size_t total = 0;
+  for (const StepSpec& step : aJob.m_spec.m_steps) {
+    occurrence.m_left.push_back(step.m_count);
+    total += step.m_count;
+  }
+  occurrence.m_tasks.resize(total);
+  occurrence.m_due = DueTime(aJob.m_spec, aNow);
+  aJob.m_nextOccurrence = std::max(aJob.m_nextOccurrence, aNumber + 1);
+  UnblockSteps(aCell, aJob, aNumber, aNow);
+}
+
+TimePoint DueTime(const JobSpec& aSpec, TimePoint aFrom) {
+  // Steps may refer to earlier or later ones, so the longest chain is found by
+  // passes until nothing grows; the input check has refused cycles.
+  std::vector<Duration> chain(aSpec.m_steps.size(), Duration::zero());
+  Duration longest = Duration::zero();
+  for (size_t pass = 0; pass < chain.size(); ++pass) {
+    bool grew = false;
+    for (size_t step = 0; step < chain.size(); ++step) {
+      Duration before = Duration::zero();
+      for (const uint32_t earlier : aSpec.m_steps[step].m_after) {
+        before = std::max(before, chain[earlier]);
+      }
+      const Duration total = before + aSpec.m_steps[step].m_estimate;
+      if (total > chain[step]) {
+        chain[step] = total;
+        grew = true;
+      }
+      longest = std::max(longest, total);
+    }
+    if (!grew) break;
+  }
+  const auto scaled = static_cast<int64_t>(
+      static_cast<double>(longest.count()) * aSpec.m_policy.m_stretch);
+  return aFrom + Duration(scaled) + aSpec.m_policy.m_targetLatency;
+}
+
+void LogDecision(Cell& aCell, std::string aText) {
+  aCell.m_orders.emplace_back(Decision{std::move(aText)});
+}
+
+std::string TaskText(const TaskKey& aKey) {
+  return fmt::format("{:016x}.{}.{}.{}", aKey.m_job.Value(), aKey.m_occurrence,
+                     aKey.m_step, aKey.m_index);
+}
+
+}  // namespace bronze::sched
--- a/src/daemon/batch_driver.h
+++ b/src/daemon/batch_driver.h
@@ -17,7 +17,7 @@
 #include "daemon/commit_driver.h"
 #include "daemon/forward_table.h"
 #include "net/http_server.h"
-#include "platform/worker_client.h"
+#include "tableservice/worker_client.h"
 
 namespace bronze {
 
--- a/src/daemon/commit_driver.h
+++ b/src/daemon/commit_driver.h
@@ -10,7 +10,7 @@
 
 #include "core/store/commit_cmd.h"
 #include "daemon/coordination_driver.h"
-#include "platform/table_client.h"
+#include "tableservice/table_client.h"
 
 namespace bronze {
 
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -24,7 +24,7 @@
 #include "daemon/peer_hub.h"
 #include "daemon/request_driver.h"
 #include "net/thread_pool.h"
-#include "platform/vm_list_client.h"
+#include "tableservice/vm_list_client.h"
 
 namespace bronze {
 
--- a/src/daemon/coordination_driver.h
+++ b/src/daemon/coordination_driver.h
@@ -16,7 +16,7 @@
 #include "core/ownership/ownership_cmd.h"
 #include "core/ownership/ownership_func.h"
 #include "daemon/peer_hub.h"
-#include "platform/table_client.h"
+#include "tableservice/table_client.h"
 
 namespace bronze {
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -154,6 +154,9 @@
 
   void Fail(beast::error_code aError) {
     m_outcome.m_timedOut = aError == beast::error::timeout;
+    // A connection can go silent without a reset; the idle ones to the same
+    // address may have gone silent with it.
+    if (m_outcome.m_timedOut) m_pool->m_idle.erase(m_address);
     m_outcome.m_error = aError.message();
     m_stream->close();
     Finish();
--- /dev/null
+++ b/src/platform/node_config.cpp
@@ -0,0 +1,143 @@
+/**
+ * @file node_config.cpp Settings of one process, read from the platform's file.
+ *
+ * Fields that are not known are ignored: the platform may add some.
+ */
+
+#include "platform/node_config.h"
+
+#include <fmt/format.h>
+#include <yaml-cpp/yaml.h>
+
+#include <fstream>
+#include <functional>
+#include <sstream>
+#include <vector>
+
+#include "net/address_func.h"
+
+namespace bronze {
+
+namespace {
+
+/** Collects what is wrong, so that one run names every problem. */
+class Reader {
+ public:
+  explicit Reader(const YAML::Node& aRoot) : m_root(aRoot) {}
+
+  template <class T>
+  T Get(const std::vector<std::string>& aPath, T aDefault, bool aRequired) {
+    YAML::Node at = YAML::Clone(m_root);
+    std::string name;
+    for (const std::string& part : aPath) {
+      name += (name.empty() ? "" : ".") + part;
+      if (!at.IsMap() || !at[part]) {
+        if (aRequired) m_problems.push_back(name + " is missing");
+        return aDefault;
+      }
+      at.reset(at[part]);
+    }
+    try {
+      return at.as<T>();
+    } catch (const YAML::Exception& error) {
+      m_problems.push_back(fmt::format("{}: {}", name, error.what()));
+      return aDefault;
+    }
+  }
+
+  boost::asio::ip::tcp::endpoint Address(
+      const std::vector<std::string>& aPath) {
+    const auto text = Get<std::string>(aPath, "", true);
+    if (text.empty()) return {};
+    const auto address = ParseAddress(text);
+    if (!address) {
+      m_problems.push_back(address.error().m_message);
+      return {};
+    }
+    return address.value();
+  }
+
+  Duration Seconds(const std::vector<std::string>& aPath, double aDefault) {
+    return Duration(static_cast<int64_t>(Get(aPath, aDefault, false) * 1e6));
+  }
+  Duration Millis(const std::vector<std::string>& aPath, int64_t aDefault) {
+    return milliseconds(Get(aPath, aDefault, false));
+  }
+
+  void Problem(std::string aText) { m_problems.push_back(std::move(aText)); }
+  [[nodiscard]] const std::vector<std::string>& Problems() const {
+    return m_problems;
+  }
+
+ private:
+  YAML::Node m_root;
+  std::vector<std::string> m_problems;
+};
+
+// Defaults of bounds that a deployment may leave out; the pages of the
+// platform name the same figures.
+constexpr double kDefaultGraceSeconds = 6.0;
+constexpr int64_t kDefaultMaxLeaseMs = 6000;
+constexpr int64_t kDefaultStopMs = 400;
+constexpr double kDefaultStatusSeconds = 120.0;
+
+NodeConfig Read(Reader& aReader) {
+  NodeConfig config;
+  config.m_vm = VmId(aReader.Get<std::string>({"node_name"}, "", true));
+  config.m_dataCentre =
+      DataCentreId(aReader.Get<std::string>({"zone"}, "", true));
+  config.m_callerAddress = aReader.Address({"listen", "front"});
+  config.m_readyAddress = aReader.Address({"listen", "ready"});
+  config.m_storeAddress = aReader.Address({"platform", "address"});
+  const auto ip = aReader.Get<std::string>({"ip"}, "", true);
+  const auto ports = aReader.Get<std::vector<int>>({"port_range"}, {}, true);
+  if (!ip.empty() && !ports.empty()) {
+    const auto address = ParseAddress(fmt::format("{}:{}", ip, ports.front()));
+    if (address) {
+      config.m_peerAddress = address.value();
+    } else {
+      aReader.Problem(address.error().m_message);
+    }
+  }
+  config.m_cpuShare = aReader.Get({"limits", "cpu_share"}, 1.0, false);
+  config.m_grace = aReader.Seconds({"bounds", "grace_s"}, kDefaultGraceSeconds);
+  config.m_maxLease =
+      aReader.Millis({"bounds", "max_hold_ms"}, kDefaultMaxLeaseMs);
+  config.m_stopTimeout =
+      aReader.Millis({"bounds", "stop_timeout_ms"}, kDefaultStopMs);
+  config.m_statusRetention =
+      aReader.Seconds({"bounds", "status_s"}, kDefaultStatusSeconds);
+  return config;
+}
+
+}  // namespace
+
+Result<NodeConfig> DecodeNodeConfig(const std::string& aText) {
+  YAML::Node root;
+  try {
+    root = YAML::Load(aText);
+  } catch (const YAML::Exception& error) {
+    return MakeError(
+        ErrorKind::ConfigInvalid,
+        fmt::format("the settings are not YAML: {}", error.what()));
+  }
+  Reader reader(root);
+  NodeConfig config = Read(reader);
+  if (reader.Problems().empty()) return config;
+  return MakeError(
+      ErrorKind::ConfigInvalid,
+      fmt::format("settings: {}", fmt::join(reader.Problems(), "; ")));
+}
+
+Result<NodeConfig> ReadNodeConfig(const std::string& aPath) {
+  std::ifstream file(aPath);
+  if (!file) {
+    return MakeError(ErrorKind::FileUnreadable,
+                     fmt::format("{} cannot be read", aPath));
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return DecodeNodeConfig(text.str());
+}
+
+}  // namespace bronze
--- /dev/null
+++ b/src/platform/node_config.h
@@ -0,0 +1,42 @@
+/**
+ * @file node_config.h Settings of one process, read from the platform's file.
+ */
+
+#ifndef BRONZE_PLATFORM_NODE_CONFIG_H_
+#define BRONZE_PLATFORM_NODE_CONFIG_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+#include "core/base/id_type.h"
+#include "core/base/time_type.h"
+#include "core/error/error_type.h"
+
+namespace bronze {
+
+struct NodeConfig {
+  VmId m_vm;
+  DataCentreId m_dataCentre;
+  boost::asio::ip::tcp::endpoint m_callerAddress;
+  boost::asio::ip::tcp::endpoint m_readyAddress;
+  boost::asio::ip::tcp::endpoint m_peerAddress;
+  boost::asio::ip::tcp::endpoint m_storeAddress;
+  double m_cpuShare = 1.0;       ///< Of one core.
+  Duration m_grace{};            ///< From SIGTERM to SIGKILL.
+  Duration m_maxLease{};         ///< A runner shortens longer leases.
+  Duration m_stopTimeout{};      ///< A runner's stop takes at most this.
+  Duration m_statusRetention{};  ///< Ended jobs stay known this long.
+};
+
+/** Environment variable that holds the path of the settings file. */
+inline constexpr char kSettingsVariable[] = "BRONZEWORKS_CONFIG";
+
+/** Reads the file; all problems are named in one error. */
+[[nodiscard]] Result<NodeConfig> ReadNodeConfig(const std::string& aPath);
+
+/** Decodes the text of such a file. */
+[[nodiscard]] Result<NodeConfig> DecodeNodeConfig(const std::string& aText);
+
+}  // namespace bronze
+
+#endif  // BRONZE_PLATFORM_NODE_CONFIG_H_
--- /dev/null
+++ b/src/platform/runner_client.cpp
@@ -0,0 +1,162 @@
+/**
+ * @file runner_client.cpp The one client of runners.
+ */
+
+#include "platform/runner_client.h"
+
+#include <boost/asio/post.hpp>
+
+#include "net/address_func.h"
+#include "platform/json_reader.h"
+#include "platform/wire_decode.h"
+
+namespace bronze {
+
+namespace {
+
+namespace json = boost::json;
+using sched::OrderOutcome;
+
+/** One for the renewal that waits and a few for orders beside it. */
+constexpr size_t kIdlePerRunner = 4;
+constexpr size_t kMaxAnswerBytes = size_t{1} << 20;
+/** An order is answered in a few milliseconds. A runner that takes longer than
+ *  this is treated as one whose answer is lost. */
+constexpr Duration kOrderTimeout = milliseconds(600);
+/** Allowed on top of the wait that a renewal asks for. */
+constexpr Duration kHoldMargin = milliseconds(700);
+
+OrderOutcome OutcomeOf(const CallOutcome& aOutcome) {
+  if (aOutcome.m_stage == CallStage::NotConnected) {
+    return OrderOutcome::NotSent;
+  }
+  if (aOutcome.m_stage != CallStage::WholeAnswer) return OrderOutcome::Unknown;
+  switch (aOutcome.m_reply.m_status) {
+    case 200:
+      return OrderOutcome::Applied;
+    case 421:
+      return OrderOutcome::WrongInstance;
+    case 400:
+    case 429:
+    case 503:
+      return OrderOutcome::RefusedOther;
+    case 409:
+      break;
+    default:
+      return OrderOutcome::Unknown;
+  }
+  const auto body = ParseJson(aOutcome.m_reply.m_body);
+  if (!body) return OrderOutcome::RefusedOther;
+  JsonReader reader(body.value());
+  const std::string reason = reader.Text("reason");
+  if (reason == "fence") return OrderOutcome::RefusedFence;
+  if (reason == "old") return OrderOutcome::RefusedOld;
+  if (reason == "late") return OrderOutcome::RefusedLate;
+  if (reason == "room") return OrderOutcome::RefusedRoom;
+  if (reason == "ticket") return OrderOutcome::RefusedTicket;
+  return OrderOutcome::RefusedOther;
+}
+
+std::string ErrorOf(const CallOutcome& aOutcome) {
+  if (aOutcome.m_stage == CallStage::WholeAnswer) {
+    return std::to_string(aOutcome.m_reply.m_status);
+  }
+  return aOutcome.m_error;
+}
+
+auto OrderHandler(std::function<void(OrderAnswer)> aHandler) {
+  return [handler = std::move(aHandler)](CallOutcome aOutcome) {
+    handler({OutcomeOf(aOutcome), ErrorOf(aOutcome)});
+  };
+}
+
+}  // namespace
+
+RunnerClient::RunnerClient(boost::asio::io_context& aContext)
+    : m_client(aContext, kIdlePerRunner, kMaxAnswerBytes) {}
+
+void RunnerClient::Post(const RunnerTarget& aTarget, std::string aPath,
+                        std::string aBody, Duration aTimeout,
+                        std::function<void(CallOutcome)> aHandler) {
+  const auto address = ParseAddress(aTarget.m_address);
+  if (!address) {
+    CallOutcome outcome;
+    outcome.m_error = address.error().m_message;
+    aHandler(std::move(outcome));
+    return;
+  }
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_target = std::move(aPath);
+  call.m_headers = {{"Content-Type", "application/json"},
+                    {"X-Expect-Instance", aTarget.m_id.Value()}};
+  call.m_body = std::move(aBody);
+  m_client.Call(address.value(), call, aTimeout, std::move(aHandler));
+}
+
+void RunnerClient::Start(const RunnerTarget& aTarget,
+                         const sched::StartOrder& aOrder,
+                         const std::string& aPayload,
+                         sched::RunnerMillis aDeadline,
+                         std::function<void(OrderAnswer)> aHandler) {
+  json::object body{{"task", EncodeTaskName(aOrder.m_task)},
+                    {"run", aOrder.m_run.Value()},
+                    {"spec", aPayload},
+                    {"deadline_ms", aDeadline.Value()},
+                    {"fence", aTarget.m_fence.Value()}};
+  if (!aOrder.m_checkpoint.empty()) body["checkpoint"] = aOrder.m_checkpoint;
+  Post(aTarget, "/bronzeworks/run-start", json::serialize(body), kOrderTimeout,
+       OrderHandler(std::move(aHandler)));
+}
+
+void RunnerClient::Stop(const RunnerTarget& aTarget,
+                        const sched::StopOrder& aOrder,
+                        std::function<void(OrderAnswer)> aHandler) {
+  const json::object body{{"task", EncodeTaskName(aOrder.m_task)},
+                          {"run", aOrder.m_run.Value()},
+                          {"fence", aTarget.m_fence.Value()}};
+  Post(aTarget, "/bronzeworks/run-stop", json::serialize(body), kOrderTimeout,
+       OrderHandler(std::move(aHandler)));
+}
+
+void RunnerClient::Pace(const RunnerTarget& aTarget,
+                        const sched::PaceOrder& aOrder,
+                        std::function<void(OrderAnswer)> aHandler) {
+  const json::object body{{"task", EncodeTaskName(aOrder.m_task)},
+                          {"run", aOrder.m_run.Value()},
+                          {"percent", aOrder.m_percent},
+                          {"fence", aTarget.m_fence.Value()}};
+  Post(aTarget, "/bronzeworks/pace", json::serialize(body), kOrderTimeout,
+       OrderHandler(std::move(aHandler)));
+}
+
+void RunnerClient::Hold(const sched::HoldOrder& aOrder,
+                        std::function<void(HoldAnswer)> aHandler) {
+  json::object body{{"fence", aOrder.m_fence.Value()},
+                    {"last_seen", aOrder.m_lastSeen.Value()}};
+  if (aOrder.m_deadline.Value() > 0) {
+    body["deadline_ms"] = aOrder.m_deadline.Value();
+  }
+  const auto wait =
+      std::chrono::duration_cast<milliseconds>(aOrder.m_wait).count();
+  if (wait > 0) body["wait_ms"] = wait;
+  Post({aOrder.m_address, aOrder.m_id, aOrder.m_fence}, "/bronzeworks/hold",
+       json::serialize(body), aOrder.m_wait + kHoldMargin,
+       [handler = std::move(aHandler)](CallOutcome aOutcome) {
+         HoldAnswer answer;
+         answer.m_outcome = OutcomeOf(aOutcome);
+         answer.m_error = ErrorOf(aOutcome);
+         if (answer.m_outcome == OrderOutcome::Applied) {
+           auto report = DecodeRunnerReport(aOutcome.m_reply.m_body);
+           if (report) {
+             answer.m_report = std::move(report.value());
+           } else {
+             answer.m_outcome = OrderOutcome::Unknown;
+             answer.m_error = report.error().m_message;
+           }
+         }
+         handler(std::move(answer));
+       });
+}
+
+}  // namespace bronze
--- /dev/null
+++ b/src/platform/runner_client.h
@@ -0,0 +1,59 @@
+/**
+ * @file runner_client.h The one client of runners.
+ */
+
+#ifndef BRONZE_PLATFORM_RUNNER_CLIENT_H_
+#define BRONZE_PLATFORM_RUNNER_CLIENT_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "core/sched/cell_base.h"
+#include "core/sched/runner_cmd.h"
+#include "net/http_client.h"
+
+namespace bronze {
+
+/** Where an order goes and by which authority. */
+struct RunnerTarget {
+  std::string m_address;
+  RunnerId m_id;
+  FencingToken m_fence;
+};
+
+struct OrderAnswer {
+  sched::OrderOutcome m_outcome = sched::OrderOutcome::Unknown;
+  std::string m_error;  ///< For the log.
+};
+
+struct HoldAnswer {
+  sched::OrderOutcome m_outcome = sched::OrderOutcome::Unknown;
+  sched::RunnerReport m_report;  ///< With Applied.
+  std::string m_error;
+};
+
+class RunnerClient {
+ public:
+  explicit RunnerClient(boost::asio::io_context& aContext);
+
+  void Start(const RunnerTarget& aTarget, const sched::StartOrder& aOrder,
+             const std::string& aPayload, sched::RunnerMillis aDeadline,
+             std::function<void(OrderAnswer)> aHandler);
+  void Stop(const RunnerTarget& aTarget, const sched::StopOrder& aOrder,
+            std::function<void(OrderAnswer)> aHandler);
+  void Pace(const RunnerTarget& aTarget, const sched::PaceOrder& aOrder,
+            std::function<void(OrderAnswer)> aHandler);
+  void Hold(const sched::HoldOrder& aOrder,
+            std::function<void(HoldAnswer)> aHandler);
+
+ private:
+  void Post(const RunnerTarget& aTarget, std::string aPath, std::string aBody,
+            Duration aTimeout, std::function<void(CallOutcome)> aHandler);
+
+  HttpClient m_client;
+};
+
+}  // namespace bronze
+
+#endif  // BRONZE_PLATFORM_RUNNER_CLIENT_H_
--- /dev/null
+++ b/src/platform/store_client.cpp
@@ -0,0 +1,183 @@
+/**
+ * @file store_client.cpp The one client of the platform's store of rows.
+ */
+
+#include "platform/store_client.h"
+
+#include <fmt/format.h>
+
+#include <boost/beast/core/detail/base64.hpp>
+
+#include "platform/json_reader.h"
+
+namespace bronze {
+
+namespace {
+
+namespace base64 = boost::beast::detail::base64;
+namespace json = boost::json;
+
+/** Calls of different parts of the daemon run side by side. */
+constexpr size_t kIdleConnections = 6;
+/** A list answers at most 1 MB of rows; base64 adds a third. */
+constexpr size_t kMaxAnswerBytes = size_t{4} << 20;
+/** Allowed on top of the wait that a watch asks for. */
+constexpr Duration kWatchMargin = milliseconds(700);
+
+std::string Encode64(std::string_view aBytes) {
+  std::string text(base64::encoded_size(aBytes.size()), '\0');
+  text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
+  return text;
+}
+
+std::string Decode64(std::string_view aText) {
+  std::string bytes(base64::decoded_size(aText.size()), '\0');
+  bytes.resize(base64::decode(bytes.data(), aText.data(), aText.size()).first);
+  return bytes;
+}
+
+json::object KeyJson(const RowKey& aKey) {
+  return {{"table", aKey.m_table}, {"part", aKey.m_part}, {"key", aKey.m_key}};
+}
+
+std::string TransactionBody(const StoreTransaction& aTransaction) {
+  json::array expected;
+  for (const RowCondition& condition : aTransaction.m_expected) {
+    json::object row = KeyJson(condition.m_key);
+    row["ver"] = condition.m_version.Value();
+    expected.push_back(std::move(row));
+  }
+  json::array puts;
+  for (const StoreRow& put : aTransaction.m_puts) {
+    json::object row = KeyJson(put.m_key);
+    row["value"] = Encode64(put.m_value);
+    puts.push_back(std::move(row));
+  }
+  json::array removes;
+  for (const RowKey& key : aTransaction.m_removes) {
+    removes.push_back(KeyJson(key));
+  }
+  return json::serialize(json::object{{"expected", std::move(expected)},
+                                      {"put", std::move(puts)},
+                                      {"remove", std::move(removes)}});
+}
+
+/** @return false for a row that cannot be read. */
+bool ReadRow(const json::value& aValue, StoreRow& aRow) {
+  constexpr int64_t kMaxVersion = int64_t{1} << 53;
+  JsonReader reader(aValue);
+  aRow.m_key = {reader.Text("table"), reader.Text("part"), reader.Text("key")};
+  aRow.m_version = RowVersion(
+      static_cast<uint64_t>(reader.Integer("ver", 0, 0, kMaxVersion)));
+  aRow.m_deleted = reader.Flag("deleted");
+  aRow.m_value = Decode64(reader.Text("value"));
+  return !reader.Failed();
+}
+
+StoreOutcome OutcomeOf(const CallOutcome& aOutcome) {
+  if (aOutcome.m_stage == CallStage::NotConnected) return StoreOutcome::Refused;
+  if (aOutcome.m_stage != CallStage::WholeAnswer) return StoreOutcome::Unknown;
+  switch (aOutcome.m_reply.m_status) {
+    case 200:
+      return StoreOutcome::Done;
+    case 410:
+      return StoreOutcome::HistoryLost;
+    case 412:
+      return StoreOutcome::Conflict;
+    default:
+      return StoreOutcome::Refused;
+  }
+}
+
+RowsResult DecodeRows(const CallOutcome& aOutcome) {
+  RowsResult result;
+  result.m_outcome = OutcomeOf(aOutcome);
+  if (result.m_outcome != StoreOutcome::Done &&
+      result.m_outcome != StoreOutcome::Conflict) {
+    return result;
+  }
+  const auto body = ParseJson(aOutcome.m_reply.m_body);
+  if (!body) {
+    result.m_outcome = StoreOutcome::Malformed;
+    return result;
+  }
+  constexpr int64_t kMaxVersion = int64_t{1} << 53;
+  JsonReader reader(body.value());
+  result.m_version = RowVersion(
+      static_cast<uint64_t>(reader.Integer("ver", 0, 0, kMaxVersion)));
+  result.m_truncated = reader.Flag("truncated");
+  if (const json::array* rows = reader.List("rows")) {
+    for (const json::value& value : *rows) {
+      StoreRow row;
+      if (ReadRow(value, row)) result.m_rows.push_back(std::move(row));
+    }
+  }
+  if (reader.Failed()) result.m_outcome = StoreOutcome::Malformed;
+  return result;
+}
+
+}  // namespace
+
+StoreClient::StoreClient(boost::asio::io_context& aContext,
+                         boost::asio::ip::tcp::endpoint aAddress)
+    : m_address(std::move(aAddress)),
+      m_client(aContext, kIdleConnections, kMaxAnswerBytes) {}
+
+void StoreClient::Call(HttpCall aCall, Duration aTimeout,
+                       std::function<void(CallOutcome)> aHandler) {
+  ++m_calls;
+  m_client.Call(m_address, aCall, aTimeout,
+                [this, handler = std::move(aHandler)](CallOutcome aOutcome) {
+                  if (aOutcome.m_stage != CallStage::WholeAnswer ||
+                      aOutcome.m_reply.m_status >= 429) {
+                    ++m_failures;
+                  }
+                  handler(std::move(aOutcome));
+                });
+}
+
+void StoreClient::Transact(const StoreTransaction& aTransaction,
+                           Duration aTimeout,
+                           std::function<void(TransactionResult)> aHandler) {
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_target = "/bronzeworks/rows-tx";
+  call.m_headers = {{"Content-Type", "application/json"}};
+  call.m_body = TransactionBody(aTransaction);
+  Call(std::move(call), aTimeout,
+       [handler = std::move(aHandler)](CallOutcome aOutcome) {
+         RowsResult rows = DecodeRows(aOutcome);
+         handler({rows.m_outcome, rows.m_version, std::move(rows.m_rows)});
+       });
+}
+
+void StoreClient::ReadRows(std::string aTarget, Duration aTimeout,
+                           std::function<void(RowsResult)> aHandler) {
+  HttpCall call;
+  call.m_method = "GET";
+  call.m_target = std::move(aTarget);
+  Call(std::move(call), aTimeout,
+       [handler = std::move(aHandler)](CallOutcome aOutcome) {
+         handler(DecodeRows(aOutcome));
+       });
+}
+
+void StoreClient::Read(const std::string& aTable, const std::string& aPart,
+                       const std::string& aFrom, Duration aTimeout,
+                       std::function<void(RowsResult)> aHandler) {
+  std::string target =
+      fmt::format("/bronzeworks/rows-get?table={}&part={}", aTable, aPart);
+  if (!aFrom.empty()) target += "&from=" + aFrom;
+  ReadRows(std::move(target), aTimeout, std::move(aHandler));
+}
+
+void StoreClient::Watch(const std::string& aTable, RowVersion aAfter,
+                        Duration aWait,
+                        std::function<void(RowsResult)> aHandler) {
+  const auto wait = std::chrono::duration_cast<milliseconds>(aWait).count();
+  ReadRows(fmt::format("/bronzeworks/rows-feed?table={}&after={}&wait_ms={}",
+                       aTable, aAfter.Value(), wait),
+           aWait + kWatchMargin, std::move(aHandler));
+}
+
+}  // namespace bronze
--- /dev/null
+++ b/src/scheduler/cell_owner.cpp
@@ -0,0 +1,355 @@
+/**
+ * @file cell_owner.cpp Runs one cell while this daemon owns it: loading, orders
+ * and callers. Commits are in cell_owner_commit.cpp.
+ */
+
+#include "scheduler/cell_owner.h"
+
+#include <boost/asio/post.hpp>
+
+#include "core/sched/job_cmd.h"
+#include "core/sched/schedule_cmd.h"
+#include "platform/wire_decode.h"
+#include "scheduler/boot_clock.h"
+#include "scheduler/owner_timing.h"
+
+namespace bronze {
+
+namespace {
+
+constexpr Duration kTick = milliseconds(50);
+constexpr Duration kLoadTimeout = seconds(2);
+constexpr Duration kLoadRetry = milliseconds(200);
+
+}  // namespace
+
+std::string PartOf(CellId aCell) { return fmt::format("c{}", aCell.Value()); }
+
+CellOwner::CellOwner(boost::asio::io_context& aContext, StoreClient& aStore,
+                     RunnerClient& aRunners, EventLog& aLog, CellId aCell,
+                     OwnerRow aOwnerRow, RowVersion aOwnerVersion,
+                     const sched::CellSettings& aSettings,
+                     std::function<void()> aOnLost)
+    : m_store(aStore),
+      m_runners(aRunners),
+      m_log(aLog),
+      m_cellId(aCell),
+      m_part(PartOf(aCell)),
+      m_ownerRow(std::move(aOwnerRow)),
+      m_ownerVersion(aOwnerVersion),
+      m_onLost(std::move(aOnLost)),
+      m_context(aContext),
+      m_tickTimer(aContext),
+      m_commitTimer(aContext) {
+  m_cell.m_settings = aSettings;
+  m_cell.m_fence = FencingToken(aOwnerVersion.Value());
+  m_lastCommitSentAt = BootNow();
+}
+
+void CellOwner::Start() {
+  m_log.Write("[cell]", "owns cell={} fence={}", m_cellId.Value(),
+              m_cell.m_fence.Value());
+  LoadStates("");
+}
+
+void CellOwner::LoadStates(std::string aFrom) {
+  m_store.Read(kStateTable, m_part, aFrom, kLoadTimeout,
+               [self = shared_from_this()](RowsResult aResult) {
+                 self->OnStates(std::move(aResult));
+               });
+}
+
+void CellOwner::OnStates(RowsResult aResult) {
+  if (m_ended) return;
+  if (aResult.m_outcome != StoreOutcome::Done) {
+    m_commitTimer.expires_after(kLoadRetry);
+    m_commitTimer.async_wait(
+        [self = shared_from_this()](boost::system::error_code aError) {
+          if (!aError) self->LoadStates("");
+        });
+    return;
+  }
+  for (const StoreRow& row : aResult.m_rows) {
+    auto state = DecodeJobState(row.m_value);
+    if (!state) {
+      m_log.Write("[cell]", "skipped state row={} error={}", row.m_key.m_key,
+                  state.error().m_message);
+      continue;
+    }
+    const JobId job = state.value().m_job;
+    m_loadedStates[job] = std::move(state.value());
+  }
+  if (aResult.m_truncated && !aResult.m_rows.empty()) {
+    LoadStates(aResult.m_rows.back().m_key.m_key + "%00");
+    return;
+  }
+  LoadJobs("");
+}
+
+void CellOwner::LoadJobs(std::string aFrom) {
+  m_store.Read(kJobTable, m_part, aFrom, kLoadTimeout,
+               [self = shared_from_this(), aFrom](RowsResult aResult) {
+                 if (self->m_ended) return;
+                 if (aResult.m_outcome == StoreOutcome::Done) {
+                   self->OnJobs(std::move(aResult));
+                   return;
+                 }
+                 self->m_commitTimer.expires_after(kLoadRetry);
+                 self->m_commitTimer.async_wait(
+                     [self, aFrom](boost::system::error_code aError) {
+                       if (!aError) self->LoadJobs(aFrom);
+                     });
+               });
+}
+
+void CellOwner::OnJobs(RowsResult aResult) {
+  const TimePoint now = BootNow();
+  for (const StoreRow& row : aResult.m_rows) {
+    auto spec = DecodeJobSpec(row.m_value);
+    if (!spec) {
+      m_log.Write("[cell]", "skipped job row={} error={}", row.m_key.m_key,
+                  spec.error().m_message);
+      continue;
+    }
+    const auto state = m_loadedStates.find(spec.value().m_id);
+    if (state == m_loadedStates.end()) continue;
+    sched::RestoreJob(m_cell, std::move(spec.value()), state->second, now,
+                      UnixNow());
+    ++m_loadedJobs;
+  }
+  if (aResult.m_truncated && !aResult.m_rows.empty()) {
+    LoadJobs(aResult.m_rows.back().m_key.m_key + "%00");
+    return;
+  }
+  BeginActing();
+}
+
+void CellOwner::OnRunnerRow(const StoreRow& aRow) {
+  auto entry = DecodeRunnerEntry(aRow.m_key.m_key, aRow.m_value);
+  if (!entry) {
+    m_log.Write("[runners]", "skipped entry={} error={}", aRow.m_key.m_key,
+                entry.error().m_message);
+    return;
+  }
+  sched::UpdateRunner(m_cell, entry.value(), BootNow());
+  SchedulePump();
+}
+
+void CellOwner::BeginActing() {
+  m_loaded = true;
+  m_loadedStates.clear();
+  m_log.Write("[cell]", "acts cell={} fence={} jobs={} queued_steps={}",
+              m_cellId.Value(), m_cell.m_fence.Value(), m_loadedJobs,
+              m_cell.m_queue.size());
+  m_runnerWatch = std::make_shared<TableWatch>(
+      m_context, m_store, m_log, kRunnerTable,
+      TableListener{[this](const StoreRow& aRow) { OnRunnerRow(aRow); },
+                    [this](const std::string& aKey) {
+                      sched::RemoveRunner(m_cell, RunnerId(aKey), BootNow());
+                    }});
+  m_runnerWatch->Start();
+  Tick();
+}
+
+void CellOwner::Tick() {
+  if (m_ended) return;
+  const TimePoint now = BootNow();
+  sched::AdvanceJobs(m_cell, now, UnixNow());
+  sched::AdvanceRunners(m_cell, now);
+  // Quarantines and refusals run out with time alone.
+  m_cell.m_capacityChanged =
+      m_cell.m_capacityChanged || !m_cell.m_queue.empty();
+  FailWaiters(MakeError(ErrorKind::Timeout, "not durable within the window"),
+              true);
+  if (!m_storeLost && now - m_lastCommitSentAt > kAuthority) {
+    m_storeLost = true;
+    m_log.Write(
+        "[store]", "lost cell={} last_commit_ms={}", m_cellId.Value(),
+        std::chrono::duration_cast<milliseconds>(now - m_lastCommitSentAt)
+            .count());
+  }
+  Pump();
+  m_log.Flush();
+  m_tickTimer.expires_after(kTick);
+  m_tickTimer.async_wait(
+      [self = shared_from_this()](boost::system::error_code aError) {
+        if (!aError) self->Tick();
+      });
+}
+
+void CellOwner::SchedulePump() {
+  if (m_pumpPending || m_ended || !m_loaded) return;
+  m_pumpPending = true;
+  boost::asio::post(m_context, [self = shared_from_this()] {
+    self->m_pumpPending = false;
+    self->Pump();
+  });
+}
+
+void CellOwner::Pump() {
+  if (m_ended || !m_loaded) return;
+  if (!m_onReleased) sched::PlaceTasks(m_cell, BootNow());
+  SendOrders();
+  SendHolds();
+  StartCommit();
+}
+
+bool CellOwner::HasAuthority(TimePoint aNow) const {
+  return aNow - m_lastCommitSentAt < kAuthority;
+}
+
+RunnerTarget CellOwner::TargetOf(sched::RunnerIndex aRunner) const {
+  const sched::RunnerEntry& entry = m_cell.m_runners[aRunner.Value()].m_entry;
+  return {entry.m_address, entry.m_id, m_cell.m_fence};
+}
+
+void CellOwner::SendOrders() {
+  while (!m_cell.m_orders.empty()) {
+    const std::vector<sched::Order> orders = std::move(m_cell.m_orders);
+    m_cell.m_orders.clear();
+    for (const sched::Order& order : orders) {
+      std::visit([this](const auto& aOrder) { SendOrder(aOrder); }, order);
+    }
+  }
+}
+
+void CellOwner::SendOrder(const sched::StartOrder& aOrder) {
+  const TimePoint now = BootNow();
+  // Checked right before each start: a suspended VM may wake up here after a
+  // successor has begun to act.
+  if (!HasAuthority(now)) {
+    sched::ApplyStartAnswer(m_cell, aOrder, sched::OrderOutcome::NotSent, now);
+    return;
+  }
+  sched::Runner& runner = m_cell.m_runners[aOrder.m_runner.Value()];
+  const auto deadline = sched::OrderDeadline(m_cell, runner, now);
+  m_log.Write("[cell]", "start task={} run={} runner={} fence={}",
+              EncodeTaskName(aOrder.m_task), aOrder.m_run.Value(),
+              runner.m_entry.m_id.Value(), m_cell.m_fence.Value());
+  m_runners.Start(
+      TargetOf(aOrder.m_runner), aOrder,
+      m_cell.m_jobs.at(aOrder.m_task.m_job).m_spec.m_payload, deadline,
+      [self = shared_from_this(), aOrder](OrderAnswer aAnswer) {
+        if (self->m_ended) return;
+        if (aAnswer.m_outcome != sched::OrderOutcome::Applied) {
+          self->m_log.Write("[cell]", "start answer task={} run={} error={}",
+                            EncodeTaskName(aOrder.m_task), aOrder.m_run.Value(),
+                            aAnswer.m_error);
+        }
+        sched::ApplyStartAnswer(self->m_cell, aOrder, aAnswer.m_outcome,
+                                BootNow());
+        self->SchedulePump();
+      });
+}
+
+void CellOwner::SendOrder(const sched::StopOrder& aOrder) {
+  if (TargetOf(aOrder.m_runner).m_address.empty()) return;
+  m_log.Write("[cell]", "stop task={} run={} runner={}",
+              EncodeTaskName(aOrder.m_task), aOrder.m_run.Value(),
+              TargetOf(aOrder.m_runner).m_id.Value());
+  m_runners.Stop(TargetOf(aOrder.m_runner), aOrder,
+                 [self = shared_from_this(), aOrder](OrderAnswer aAnswer) {
+                   if (self->m_ended) return;
+                   sched::ApplyStopAnswer(self->m_cell, aOrder,
+                                          aAnswer.m_outcome, BootNow());
+                   self->SchedulePump();
+                 });
+}
+
+void CellOwner::SendOrder(const sched::PaceOrder& aOrder) {
+  m_runners.Pace(TargetOf(aOrder.m_runner), aOrder,
+                 [self = shared_from_this(), aOrder](OrderAnswer aAnswer) {
+                   if (self->m_ended) return;
+                   sched::ApplyPaceAnswer(self->m_cell, aOrder,
+                                          aAnswer.m_outcome);
+                 });
+}
+
+void CellOwner::SendOrder(const sched::Decision& aDecision) {
+  m_log.Line("[cell]", aDecision.m_text);
+}
+
+void CellOwner::SendHolds() {
+  const TimePoint now = BootNow();
+  for (uint32_t at = 0; at < m_cell.m_runners.size(); ++at) {
+    const auto order = sched::NextHold(m_cell, sched::RunnerIndex(at), now);
+    if (!order) continue;
+    m_runners.Hold(*order, [self = shared_from_this(), runner = order->m_runner,
+                            sentAt = now](HoldAnswer aAnswer) {
+      if (self->m_ended) return;
+      const TimePoint answeredAt = BootNow();
+      if (aAnswer.m_outcome == sched::OrderOutcome::Applied) {
+        sched::ApplyReport(self->m_cell, runner, aAnswer.m_report, sentAt,
+                           answeredAt);
+      } else {
+        self->m_log.Write("[runners]", "hold failed runner={} error={}",
+                          self->TargetOf(runner).m_id.Value(), aAnswer.m_error);
+        sched::ApplyHoldFailure(self->m_cell, runner, aAnswer.m_outcome,
+                                answeredAt);
+      }
+      self->SchedulePump();
+    });
+  }
+}
+
+void CellOwner::Handle(PeerCall aCall, AnswerHandler aHandler) {
+  PeerAnswer answer;
+  if (!IsActing() || m_onReleased) {
+    answer.m_error = MakeError(ErrorKind::NotOwner, "the cell is not acting");
+    aHandler(std::move(answer));
+    return;
+  }
+  const TimePoint now = BootNow();
+  switch (aCall.m_verb) {
+    case PeerVerb::Submit: {
+      if (!HasAuthority(now)) {
+        answer.m_error =
+            MakeError(ErrorKind::StoreUnavailable, "the store is away");
+        break;
+      }
+      auto when =
+          sched::SubmitJob(m_cell, std::move(aCall.m_spec), now, UnixNow());
+      if (when) {
+        m_log.Write("[cell]", "submit job={:016x} queue={} version={}",
+                    aCall.m_job.Value(), aCall.m_queue.Value(),
+                    when.value().m_version);
+        WaitFor(when.value(), aCall, std::move(aHandler));
+        SchedulePump();
+        return;
+      }
+      answer.m_error = when.error();
+      break;
+    }
+    case PeerVerb::Cancel: {
+      auto when = sched::CancelJob(m_cell, aCall.m_job, now);
+      if (when) {
+        m_log.Write("[cell]", "cancel job={:016x}", aCall.m_job.Value());
+        WaitFor(when.value(), aCall, std::move(aHandler));
+        SchedulePump();
+        return;
+      }
+      answer.m_error = when.error();
+      break;
+    }
+    case PeerVerb::LookUp: {
+      const auto state = sched::LookUpJob(m_cell, aCall.m_job);
+      if (state) {
+        answer.m_state = state.value();
+      } else if (HasAuthority(now)) {
+        answer.m_error = state.error();
+      } else {
+        // Without the store, a job that is missing here may have been
+        // accepted by a successor.
+        answer.m_error =
+            MakeError(ErrorKind::StoreUnavailable, "the store is away");
+      }
+      break;
+    }
+    case PeerVerb::CountPending:
+      answer.m_count = sched::PendingJobs(m_cell, aCall.m_queue);
+      break;
+  }
+  aHandler(std::move(answer));
+}
+
+}  // namespace bronze
--- /dev/null
+++ b/src/scheduler/cell_seat.cpp
@@ -0,0 +1,176 @@
+/**
+ * @file cell_seat.cpp This daemon's view of one cell.
+ */
+
+#include "scheduler/cell_seat.h"
+
+#include "scheduler/boot_clock.h"
+#include "scheduler/owner_timing.h"
+
+namespace bronze {
+
+namespace {
+
+constexpr Duration kPollPause = milliseconds(450);
+constexpr Duration kPollTimeout = milliseconds(1000);
+constexpr Duration kClaimTimeout = milliseconds(1200);
+/** Two reads further apart than this do not show that the owner was silent in
+ *  between: the store may have been away for it, too. */
+constexpr Duration kLongestPollGap = milliseconds(1300);
+/** A view of the owner older than this is not used for calls. */
+constexpr Duration kViewValid = seconds(4);
+
+}  // namespace
+
+CellSeat::CellSeat(boost::asio::io_context& aContext, StoreClient& aStore,
+                   RunnerClient& aRunners, EventLog& aLog, CellId aCell,
+                   NodeIdentity aIdentity, const sched::CellSettings& aSettings)
+    : m_context(aContext),
+      m_store(aStore),
+      m_runners(aRunners),
+      m_log(aLog),
+      m_cell(aCell),
+      m_identity(std::move(aIdentity)),
+      m_settings(aSettings),
+      m_timer(aContext) {}
+
+void CellSeat::Start() { Poll(); }
+
+std::shared_ptr<CellOwner> CellSeat::LocalOwner() const {
+  return m_owner && m_owner->IsActing() ? m_owner : nullptr;
+}
+
+std::optional<std::string> CellSeat::RemoteOwner() const {
+  if (m_owner || m_row.m_vm.empty() || m_row.m_vm == m_identity.m_vm.Value()) {
+    return {};
+  }
+  if (BootNow() - m_changedAt > kViewValid) return {};
+  return m_row.m_address;
+}
+
+void CellSeat::PollLater(Duration aPause) {
+  m_timer.expires_after(aPause);
+  m_timer.async_wait(
+      [self = shared_from_this()](boost::system::error_code aError) {
+        if (!aError) self->Poll();
+      });
+}
+
+void CellSeat::Poll() {
+  if (m_owner) return;
+  m_store.Read(
+      kOwnerTable, PartOf(m_cell), "", kPollTimeout,
+      [self = shared_from_this(), askedAt = BootNow()](RowsResult aResult) {
+        self->OnPolled(std::move(aResult), askedAt);
+      });
+}
+
+void CellSeat::OnPolled(RowsResult aResult, TimePoint aAskedAt) {
+  if (m_owner) return;
+  const TimePoint now = BootNow();
+  if (aResult.m_outcome != StoreOutcome::Done) {
+    PollLater(kPollPause);
+    return;
+  }
+  const bool gap = !m_everPolled || now - m_polledAt > kLongestPollGap;
+  RowVersion version;
+  for (const StoreRow& row : aResult.m_rows) {
+    if (row.m_key.m_key != kOwnerKey) continue;
+    version = row.m_version;
+    auto owner = DecodeOwnerRow(row.m_value);
+    if (owner) m_row = std::move(owner.value());
+  }
+  if (gap || version != m_version) m_changedAt = now;
+  m_version = version;
+  m_polledAt = now;
+  m_everPolled = true;
+  (void)aAskedAt;
+  ConsiderClaim(now);
+}
+
+void CellSeat::ConsiderClaim(TimePoint aNow) {
+  const bool vacant = m_version.Value() == 0 || m_row.m_vm.empty();
+  const bool ownEarlierLife = m_row.m_vm == m_identity.m_vm.Value() &&
+                              m_row.m_incarnation != m_identity.m_incarnation;
+  const Duration silence = aNow - m_changedAt;
+  const bool silent = silence > kOwnerSilence + m_identity.m_claimDelay;
+  const bool turn = vacant && silence >= m_identity.m_claimDelay;
+  if (!m_handingOver && (ownEarlierLife || silent || turn)) {
+    Claim();
+    return;
+  }
+  const Duration left = m_identity.m_claimDelay - silence;
+  PollLater(vacant && left > Duration::zero() ? left : kPollPause);
+}
+
+void CellSeat::Claim() {
+  OwnerRow row{m_identity.m_vm.Value(), m_identity.m_incarnation,
+               m_identity.m_peerAddress, m_row.m_sequence + 1};
+  const RowKey key{kOwnerTable, PartOf(m_cell), kOwnerKey};
+  StoreTransaction claim;
+  claim.m_expected.push_back({key, m_version});
+  claim.m_puts.push_back({key, EncodeOwnerRow(row), {}});
+  m_log.Write("[cell]", "claims cell={} from={} version={} silence_ms={}",
+              m_cell.Value(), m_row.m_vm, m_version.Value(),
+              std::chrono::duration_cast<milliseconds>(BootNow() - m_changedAt)
+                  .count());
+  m_store.Transact(claim, kClaimTimeout,
+                   [self = shared_from_this(), row](TransactionResult aResult) {
+                     self->OnClaimed(row, std::move(aResult));
+                   });
+}
+
+void CellSeat::OnClaimed(const OwnerRow& aClaimed, TransactionResult aResult) {
+  if (aResult.m_outcome == StoreOutcome::Done) {
+    BeginOwning(aClaimed, aResult.m_version);
+    return;
+  }
+  // A claim without an answer may have taken effect; the next read shows it.
+  // The row then names this life, so that no other rule would claim it.
+  m_everPolled = false;
+  m_store.Read(kOwnerTable, PartOf(m_cell), "", kPollTimeout,
+               [self = shared_from_this(), aClaimed](RowsResult aRows) {
+                 for (const StoreRow& row : aRows.m_rows) {
+                   const auto owner = DecodeOwnerRow(row.m_value);
+                   if (owner && owner.value().m_vm == aClaimed.m_vm &&
+                       owner.value().m_incarnation == aClaimed.m_incarnation) {
+                     self->BeginOwning(aClaimed, row.m_version);
+                     return;
+                   }
+                 }
+                 self->OnPolled(std::move(aRows), BootNow());
+               });
+}
+
+void CellSeat::BeginOwning(const OwnerRow& aRow, RowVersion aVersion) {
+  m_row = aRow;
+  m_version = aVersion;
+  m_owner = std::make_shared<CellOwner>(m_context, m_store, m_runners, m_log,
+                                        m_cell, aRow, aVersion, m_settings,
+                                        [weak = weak_from_this()] {
+                                          const auto self = weak.lock();
+                                          if (!self) return;
+                                          self->m_owner.reset();
+                                          self->m_everPolled = false;
+                                          self->Poll();
+                                        });
+  m_owner->Start();
+}
+
+void CellSeat::HandOver(std::function<void()> aDone) {
+  m_handingOver = true;
+  if (!m_owner) {
+    aDone();
+    return;
+  }
+  m_owner->Release([weak = weak_from_this(), done = std::move(aDone)] {
+    done();
+    const auto self = weak.lock();
+    if (!self) return;
+    self->m_owner.reset();
+    self->m_everPolled = false;
+    self->Poll();
+  });
+}
+
+}  // namespace bronze
--- /dev/null
+++ b/src/scheduler/entry_node.cpp
@@ -0,0 +1,358 @@
+/**
+ * @file entry_node.cpp The control loop of one entry VM.
+ */
+
+#include "scheduler/entry_node.h"
+
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <boost/asio/post.hpp>
+
+#include "core/error/error_func.h"
+#include "net/address_func.h"
+#include "platform/wire_decode.h"
+#include "scheduler/boot_clock.h"
+
+namespace bronze {
+
+namespace {
+
+constexpr size_t kIdlePerPeer = 8;
+constexpr size_t kMaxPeerAnswer = size_t{64} << 10;
+constexpr size_t kCells = 1;
+/** Daemons claim a free cell one after the other within this time. */
+constexpr int64_t kClaimSpreadMs = 400;
+/** A caller is told this long before its own deadline that nothing is known,
+ *  so that the answer arrives in time. */
+constexpr Duration kAnswerMargin = milliseconds(150);
+/** A takeover takes some seconds; a caller that comes back after this finds
+ *  the new owner in most cases. */
+constexpr Duration kRetryAfter = seconds(1);
+constexpr char kPeerPath[] = "/peer/call";
+/** Part of the time between SIGTERM and SIGKILL after which the process ends;
+ *  calls in progress are answered until then. */
+constexpr double kDrainShare = 0.7;
+
+Duration ClaimDelay(const NodeConfig& aConfig) {
+  const std::string& vm = aConfig.m_vm.Value();
+  const uint64_t hash = XXH3_64bits(vm.data(), vm.size());
+  return milliseconds(static_cast<int64_t>(hash % kClaimSpreadMs));
+}
+
+sched::CellSettings SettingsOf(const NodeConfig& aConfig) {
+  constexpr int64_t kLeasePercent = 75;
+  sched::CellSettings settings;
+  settings.m_maxLease = aConfig.m_maxLease;
+  // Shorter than the longest lease, so that what ran on a lost runner is
+  // started elsewhere earlier; long enough to outlast a takeover.
+  settings.m_lease = aConfig.m_maxLease * kLeasePercent / 100;
+  settings.m_stopTimeout = aConfig.m_stopTimeout;
+  settings.m_statusRetention = aConfig.m_statusRetention + seconds(30);
+  return settings;
+}
+
+std::string_view VerbName(CallerVerb aVerb) {
+  switch (aVerb) {
+    case CallerVerb::Submit:
+      return "submit";
+    case CallerVerb::LookUp:
+      return "lookup";
+    case CallerVerb::Cancel:
+      return "cancel";
+    case CallerVerb::CountPending:
+      return "pending";
+  }
+  return "lookup";
+}
+
+}  // namespace
+
+EntryNode::EntryNode(const NodeConfig& aConfig, uint64_t aIncarnation)
+    : m_config(aConfig),
+      m_log(STDOUT_FILENO, aConfig.m_vm.Value()),
+      m_store(m_context, aConfig.m_storeAddress),
+      m_runners(m_context),
+      m_peers(m_context, kIdlePerPeer, kMaxPeerAnswer),
+      m_drainTimer(m_context),
+      m_liveConfig(std::make_shared<const sched::LiveConfig>()) {
+  const NodeIdentity identity{aConfig.m_vm, aIncarnation,
+                              AddressText(aConfig.m_peerAddress),
+                              ClaimDelay(aConfig)};
+  for (uint32_t cell = 0; cell < kCells; ++cell) {
+    m_seats.push_back(std::make_shared<CellSeat>(m_context, m_store, m_runners,
+                                                 m_log, CellId(cell), identity,
+                                                 SettingsOf(aConfig)));
+  }
+  m_operatorWatch = std::make_shared<TableWatch>(
+      m_context, m_store, m_log, kOperatorTable,
+      TableListener{[this](const StoreRow& aRow) { OnConfigRow(aRow); },
+                    [](const std::string&) {}});
+}
+
+void EntryNode::Run() {
+  m_log.Write("[main]", "started incarnation_peer={}",
+              AddressText(m_config.m_peerAddress));
+  m_operatorWatch->Start();
+  for (const auto& seat : m_seats) seat->Start();
+  const auto work = boost::asio::make_work_guard(m_context);
+  m_context.run();
+  m_log.Write("[main]", "ended");
+  m_log.Flush();
+}
+
+void EntryNode::OnConfigRow(const StoreRow& aRow) {
+  if (aRow.m_key.m_key != kConfigRow) return;
+  std::vector<std::string> problems;
+  auto config = DecodeLiveConfig(aRow.m_value, problems);
+  for (const std::string& problem : problems) {
+    m_log.Write("[config]", "skipped entry error={}", problem);
+  }
+  if (!config) {
+    m_log.Write("[config]", "refused error={}", config.error().m_message);
+    return;
+  }
+  // A configuration never goes back within a process.
+  if (config.value().m_version <= m_liveConfig->m_version) return;
+  m_log.Write("[config]", "in force version={} queues={}",
+              config.value().m_version.Value(), config.value().m_queues.size());
+  auto shared =
+      std::make_shared<const sched::LiveConfig>(std::move(config.value()));
+  {
+    const std::lock_guard<std::mutex> lock(m_configMutex);
+    m_liveConfig = std::move(shared);
+  }
+  if (!m_draining) m_ready = true;
+  m_log.Flush();
+}
+
+void EntryNode::HandleCaller(HttpCall aCall, SharedResponder aResponder) {
+  std::shared_ptr<const sched::LiveConfig> config;
+  {
+    const std::lock_guard<std::mutex> lock(m_configMutex);
+    config = m_liveConfig;
+  }
+  auto request = DecodeCallerCall(aCall, *config);
+  if (!request) {
+    aResponder->Reply(RefusalReply(request.error(), kRetryAfter));
+    boost::asio::post(
+        m_context, [this, error = request.error(), target = aCall.m_target] {
+          ++m_answers["refused_" + std::string(AnswerFor(error.m_kind).m_name)];
+          m_log.Write("[callers]", "refused target={} error={}", target,
+                      error.m_message);
+        });
+    return;
+  }
+  boost::asio::post(m_context, [this, request = std::move(request.value()),
+                                responder = std::move(aResponder)]() mutable {
+    Serve(std::move(request), responder);
+  });
+}
+
+CellId EntryNode::CellOf(JobId aJob) const {
+  const uint64_t value = aJob.Value();
+  return CellId(static_cast<uint32_t>(XXH3_64bits(&value, sizeof value) %
+                                      m_seats.size()));
+}
+
+void EntryNode::Serve(CallerRequest aRequest,
+                      const SharedResponder& aResponder) {
+  PeerCall call;
+  call.m_verb = static_cast<PeerVerb>(aRequest.m_verb);
+  call.m_queue = aRequest.m_queue;
+  call.m_window = std::max(aRequest.m_window - kAnswerMargin, kAnswerMargin);
+  call.m_job = aRequest.m_job;
+  call.m_cell = CellOf(aRequest.m_job);
+  call.m_spec = std::move(aRequest.m_spec);
+  ServeCall(std::move(call), [this, request = std::move(aRequest),
+                              responder = aResponder](PeerAnswer aAnswer) {
+    AnswerCaller(request, aAnswer, responder);
+  });
+}
+
+void EntryNode::ServeCall(PeerCall aCall, AnswerHandler aHandler) {
+  const auto& seat = m_seats[aCall.m_cell.Value()];
+  if (const auto owner = seat->LocalOwner()) {
+    owner->Handle(std::move(aCall), std::move(aHandler));
+    return;
+  }
+  if (const auto address = seat->RemoteOwner()) {
+    Forward(*address, std::move(aCall), std::move(aHandler));
+    return;
+  }
+  PeerAnswer answer;
+  answer.m_error = MakeError(ErrorKind::NotReady, "the cell has no owner");
+  aHandler(std::move(answer));
+}
+
+void EntryNode::Forward(const std::string& aAddress, PeerCall aCall,
+                        AnswerHandler aHandler) {
+  const auto address = ParseAddress(aAddress);
+  if (!address) {
+    PeerAnswer answer;
+    answer.m_error = address.error();
+    aHandler(std::move(answer));
+    return;
+  }
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_target = kPeerPath;
+  call.m_headers = {{"Content-Type", "application/cbor"}};
+  call.m_body = EncodePeerCall(aCall);
+  m_peers.Call(address.value(), call, aCall.m_window,
+               [handler = std::move(aHandler)](CallOutcome aOutcome) {
+                 PeerAnswer answer;
+                 if (aOutcome.m_stage == CallStage::NotConnected) {
+                   // Nothing was sent, so nothing was accepted.
+                   answer.m_error = MakeError(ErrorKind::NotReady,
+                                              "the owner cannot be reached");
+                 } else if (aOutcome.m_stage != CallStage::WholeAnswer) {
+                   answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
+                                              "the owner has not answered");
+                 } else {
+                   auto decoded = DecodePeerAnswer(aOutcome.m_reply.m_body);
+                   if (decoded) {
+                     answer = std::move(decoded.value());
+                   } else {
+                     answer.m_error = decoded.error();
+                   }
+                 }
+                 handler(std::move(answer));
+               });
+}
+
+void EntryNode::AnswerCaller(const CallerRequest& aRequest,
+                             const PeerAnswer& aAnswer,
+                             const SharedResponder& aResponder) {
+  const std::string_view verb = VerbName(aRequest.m_verb);
+  if (aAnswer.m_error) {
+    const auto name = AnswerFor(aAnswer.m_error->m_kind).m_name;
+    ++m_answers[fmt::format("{}_{}", verb, name)];
+    m_log.Write("[callers]", "{} job={:016x} queue={} error={} text={}", verb,
+                aRequest.m_job.Value(), aRequest.m_queue.Value(), name,
+                aAnswer.m_error->m_message);
+    aResponder->Reply(RefusalReply(*aAnswer.m_error, kRetryAfter));
+    m_log.Flush();
+    return;
+  }
+  ++m_answers[fmt::format("{}_ok", verb)];
+  switch (aRequest.m_verb) {
+    case CallerVerb::Submit:
+      m_log.Write("[callers]", "accepted job={:016x} queue={}",
+                  aRequest.m_job.Value(), aRequest.m_queue.Value());
+      aResponder->Reply(AcceptedReply());
+      break;
+    case CallerVerb::Cancel:
+      aResponder->Reply(AcceptedReply());
+      break;
+    case CallerVerb::LookUp:
+      aResponder->Reply(StateReply(aAnswer.m_state));
+      break;
+    case CallerVerb::CountPending:
+      aResponder->Reply(PendingReply(aAnswer.m_count));
+      break;
+  }
+}
+
+void EntryNode::HandlePeer(HttpCall aCall, SharedResponder aResponder) {
+  auto call = DecodePeerCall(aCall.m_body);
+  if (!call || aCall.m_target != kPeerPath ||
+      call.value().m_cell.Value() >= m_seats.size()) {
+    aResponder->Reply(RefusalReply(
+        MakeError(ErrorKind::BadRequest, "not a call of a peer"), kRetryAfter));
+    return;
+  }
+  boost::asio::post(m_context, [this, call = std::move(call.value()),
+                                responder = std::move(aResponder)]() mutable {
+    const auto answerer = [responder](const PeerAnswer& aAnswer) {
+      HttpReply reply;
+      reply.m_contentType = "application/cbor";
+      reply.m_body = EncodePeerAnswer(aAnswer);
+      responder->Reply(std::move(reply));
+    };
+    const auto owner = m_seats[call.m_cell.Value()]->LocalOwner();
+    if (!owner) {
+      PeerAnswer answer;
+      answer.m_error = MakeError(ErrorKind::NotOwner, "not the owner");
+      answerer(answer);
+      return;
+    }
+    owner->Handle(std::move(call), answerer);
+  });
+}
+
+void EntryNode::HandleHealth(const HttpCall& aCall,
+                             const SharedResponder& aResponder) {
+  if (aCall.m_target == kReadyPath) {
+    HttpReply reply;
+    reply.m_status = m_ready ? 200 : 503;
+    aResponder->Reply(std::move(reply));
+    return;
+  }
+  boost::asio::post(m_context, [this, responder = aResponder] {
+    HttpReply reply;
+    reply.m_contentType = "text/plain; version=0.0.4";
+    reply.m_body = Metrics();
+    responder->Reply(std::move(reply));
+  });
+}
+
+std::string EntryNode::Metrics() const {
+  std::string text;
+  for (const auto& [name, count] : m_answers) {
+    text += fmt::format("bronze_caller_answers_total{{result=\"{}\"}} {}\n",
+                        name, count);
+  }
+  text += fmt::format("bronze_store_calls_total {}\n", m_store.Calls());
+  text += fmt::format("bronze_store_failures_total {}\n", m_store.Failures());
+  text += fmt::format("bronze_log_dropped_total {}\n", m_log.Dropped());
+  text += fmt::format("bronze_config_version {}\n",
+                      m_liveConfig->m_version.Value());
+  for (const auto& seat : m_seats) {
+    const auto owner = seat->LocalOwner();
+    if (!owner) continue;
+    const sched::CellCounts& counts = owner->State().m_counts;
+    text += fmt::format(
+        "bronze_jobs_accepted_total {}\nbronze_jobs_completed_total {}\n"
+        "bronze_jobs_failed_total {}\nbronze_jobs_cancelled_total {}\n"
+        "bronze_task_starts_total {}\nbronze_task_stops_total {}\n"
+        "bronze_task_paces_total {}\nbronze_starts_refused_total {}\n"
+        "bronze_runners_lapsed_total {}\nbronze_tasks_stalled_total {}\n"
+        "bronze_quarantines_total {}\nbronze_queued_steps {}\n",
+        counts.m_accepted, counts.m_completed, counts.m_failed,
+        counts.m_cancelled, counts.m_starts, counts.m_stops, counts.m_paces,
+        counts.m_rejectedStarts, counts.m_lapsedRunners, counts.m_stalledTasks,
+        counts.m_quarantines, owner->State().m_queue.size());
+  }
+  return text;
+}
+
+void EntryNode::PostDrain() {
+  boost::asio::post(m_context, [this] { Drain(); });
+}
+
+void EntryNode::PostReload() {
+  boost::asio::post(m_context, [this] {
+    m_log.Write("[main]", "reload: the settings take effect at a start");
+    m_log.Flush();
+  });
+}
+
+void EntryNode::Drain() {
+  if (m_draining) return;
+  m_draining = true;
+  m_ready = false;
+  m_log.Write("[main]", "draining");
+  m_log.Flush();
+  for (const auto& seat : m_seats) {
+    seat->HandOver([this] { m_log.Write("[main]", "handed over"); });
+  }
+  const auto left = static_cast<int64_t>(
+      static_cast<double>(m_config.m_grace.count()) * kDrainShare);
+  m_drainTimer.expires_after(Duration(left));
+  m_drainTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) m_context.stop();
+  });
+}
+
+}  // namespace bronze
--- /dev/null
+++ b/src/scheduler/entry_node.h
@@ -0,0 +1,75 @@
+/**
+ * @file entry_node.h The control loop of one entry VM: takes callers' requests
+ * from the traffic threads and brings them to the owner of the job's cell.
+ */
+
+#ifndef BRONZE_SCHEDULER_ENTRY_NODE_H_
+#define BRONZE_SCHEDULER_ENTRY_NODE_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "net/http_server.h"
+#include "platform/caller_wire.h"
+#include "platform/node_config.h"
+#include "scheduler/cell_seat.h"
+
+namespace bronze {
+
+class EntryNode {
+ public:
+  EntryNode(const NodeConfig& aConfig, uint64_t aIncarnation);
+
+  /** Runs the control loop until the process is to end. */
+  void Run();
+
+  /** Any thread: a call of a caller. */
+  void HandleCaller(HttpCall aCall, std::shared_ptr<HttpResponder> aResponder);
+  /** Any thread: a call of another daemon. */
+  void HandlePeer(HttpCall aCall, std::shared_ptr<HttpResponder> aResponder);
+  /** Any thread: readiness and metrics. */
+  void HandleHealth(const HttpCall& aCall,
+                    const std::shared_ptr<HttpResponder>& aResponder);
+
+  /** Any thread: SIGTERM. */
+  void PostDrain();
+  /** Any thread: SIGHUP. */
+  void PostReload();
+
+ private:
+  using SharedResponder = std::shared_ptr<HttpResponder>;
+
+  void OnConfigRow(const StoreRow& aRow);
+  void Serve(CallerRequest aRequest, const SharedResponder& aResponder);
+  void ServeCall(PeerCall aCall, AnswerHandler aHandler);
+  void Forward(const std::string& aAddress, PeerCall aCall,
+               AnswerHandler aHandler);
+  void AnswerCaller(const CallerRequest& aRequest, const PeerAnswer& aAnswer,
+                    const SharedResponder& aResponder);
+  [[nodiscard]] CellId CellOf(JobId aJob) const;
+  [[nodiscard]] std::string Metrics() const;
+  void Drain();
+
+  NodeConfig m_config;
+  boost::asio::io_context m_context;
+  EventLog m_log;
+  StoreClient m_store;
+  RunnerClient m_runners;
+  HttpClient m_peers;
+  std::vector<std::shared_ptr<CellSeat>> m_seats;  ///< Indexed by CellId.
+  std::shared_ptr<TableWatch> m_operatorWatch;
+  boost::asio::steady_timer m_drainTimer;
+
+  std::mutex m_configMutex;  ///< Guards m_liveConfig, which traffic reads.
+  std::shared_ptr<const sched::LiveConfig> m_liveConfig;
+  std::atomic<bool> m_ready = false;
+  bool m_draining = false;
+  std::map<std::string, uint64_t> m_answers;  ///< By verb and result.
+};
+
+}  // namespace bronze
+
+#endif  // BRONZE_SCHEDULER_ENTRY_NODE_H_
--- /dev/null
+++ b/src/scheduler/event_log.cpp
@@ -0,0 +1,58 @@
+/**
+ * @file event_log.cpp Structured lines on standard output.
+ */
+
+#include "scheduler/event_log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "scheduler/boot_clock.h"
+
+namespace bronze {
+
+namespace {
+
+constexpr size_t kMaxBuffer = size_t{512} << 10;
+/** A pipe that polls as writable takes this much without blocking. */
+constexpr size_t kAtomicWrite = 4096;
+
+bool IsWritable(int aDescriptor) {
+  pollfd entry{aDescriptor, POLLOUT, 0};
+  return poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+}
+
+}  // namespace
+
+EventLog::EventLog(int aDescriptor, std::string aVm)
+    : m_descriptor(aDescriptor), m_vm(std::move(aVm)) {}
+
+void EventLog::Line(std::string_view aPart, std::string_view aText) {
+  const size_t needed = aPart.size() + aText.size() + m_vm.size() + 40;
+  if (m_buffer.size() + needed > kMaxBuffer) {
+    ++m_dropped;
+    return;
+  }
+  fmt::format_to(std::back_inserter(m_buffer), "{} {} vm={} {}\n", aPart,
+                 UnixNow().Value(), m_vm, aText);
+}
+
+void EventLog::Flush() {
+  if (m_dropped > m_reported && m_buffer.size() < kMaxBuffer / 2) {
+    const uint64_t lost = m_dropped - m_reported;
+    m_reported = m_dropped;
+    Write("[log]", "dropped lines={}", lost);
+  }
+  size_t at = 0;
+  while (at < m_buffer.size() && IsWritable(m_descriptor)) {
+    const size_t count = std::min(kAtomicWrite, m_buffer.size() - at);
+    const ssize_t written = write(m_descriptor, m_buffer.data() + at, count);
+    if (written <= 0) break;
+    at += static_cast<size_t>(written);
+  }
+  m_buffer.erase(0, at);
+}
+
+}  // namespace bronze
--- /dev/null
+++ b/src/scheduler/main.cpp
@@ -0,0 +1,126 @@
+/**
+ * @file main.cpp The scheduler's process on one entry VM.
+ */
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+
+#include "core/error/error_func.h"
+#include "net/address_func.h"
+#include "net/log_func.h"
+#include "scheduler/entry_node.h"
+
+namespace {
+
+constexpr char kUsage[] =
+    R"(bronze-scheduler: schedules jobs on the platform's runners.
+
+Usage:
+  bronze-scheduler [--settings FILE]
+  bronze-scheduler --check [--settings FILE]
+  bronze-scheduler --help
+
+Options:
+  --settings FILE  Settings of this VM; without it, the file that the
+                   environment variable BRONZEWORKS_CONFIG names.
+  --check          Read the settings, name what is wrong, and end.
+  --help           Show this text.
+
+SIGTERM drains: cells are handed over, calls in progress are answered, then the
+process ends. Exit codes: 0 ended, 2 bad settings, 4 an address cannot be bound.
+)";
+
+/** The port of the metrics address in deploy/system.toml. */
+constexpr uint16_t kMetricsPort = 9464;
+constexpr size_t kTrafficThreads = 1;
+
+int Fail(const bronze::Error& aError) {
+  bronze::Log(bronze::LogLevel::Error, bronze::LogPart::Main, "{}",
+              aError.m_message);
+  return bronze::AnswerFor(aError.m_kind).m_exitCode;
+}
+
+/** The VM keeps nothing, so a new life is told from an earlier one by time. */
+uint64_t NewIncarnation() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+bronze::HttpLimits Limits() {
+  bronze::HttpLimits limits;
+  limits.m_connections = 3000;
+  return limits;
+}
+
+int Serve(const bronze::NodeConfig& aConfig) {
+  bronze::Counters counters;
+  bronze::ThreadPool threads(kTrafficThreads);
+  bronze::EntryNode node(aConfig, NewIncarnation());
+  bronze::HttpServer callers(
+      threads, Limits(), counters,
+      [&node](size_t, bronze::HttpCall aCall, auto aResponder) {
+        node.HandleCaller(std::move(aCall), std::move(aResponder));
+      });
+  bronze::HttpServer peers(
+      threads, Limits(), counters,
+      [&node](size_t, bronze::HttpCall aCall, auto aResponder) {
+        node.HandlePeer(std::move(aCall), std::move(aResponder));
+      });
+  const auto health = [&node](size_t, bronze::HttpCall aCall, auto aResponder) {
+    node.HandleHealth(aCall, aResponder);
+  };
+  bronze::HttpServer ready(threads, Limits(), counters, health);
+  bronze::HttpServer metrics(threads, Limits(), counters, health);
+  const boost::asio::ip::tcp::endpoint metricsAddress(
+      aConfig.m_callerAddress.address(), kMetricsPort);
+  for (const auto& [server, address] :
+       {std::pair(&callers, aConfig.m_callerAddress),
+        std::pair(&peers, aConfig.m_peerAddress),
+        std::pair(&ready, aConfig.m_readyAddress),
+        std::pair(&metrics, metricsAddress)}) {
+    const auto bound = server->Listen(address);
+    if (!bound) return Fail(bound.error());
+  }
+  boost::asio::signal_set ends(threads.Context(0), SIGTERM, SIGINT);
+  ends.async_wait([&node](boost::system::error_code aError, int) {
+    if (!aError) node.PostDrain();
+  });
+  boost::asio::signal_set reloads(threads.Context(0), SIGHUP);
+  std::function<void()> awaitReload = [&] {
+    reloads.async_wait([&](boost::system::error_code aError, int) {
+      if (aError) return;
+      node.PostReload();
+      awaitReload();
+    });
+  };
+  awaitReload();
+  node.Run();
+  callers.Drain();
+  threads.Stop();
+  return 0;
+}
+
+std::string SettingsPath(const docopt::value& aOption) {
+  if (aOption) return aOption.asString();
+  const char* path = std::getenv(bronze::kSettingsVariable);
+  return path == nullptr ? "" : path;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto args = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto config =
+      bronze::ReadNodeConfig(SettingsPath(args.at("--settings")));
+  if (!config) return Fail(config.error());
+  if (args.at("--check").asBool()) return 0;
+  return Serve(config.value());
+}
--- /dev/null
+++ b/src/scheduler/table_watch.cpp
@@ -0,0 +1,126 @@
+/**
+ * @file table_watch.cpp Follows one table of the platform's store.
+ */
+
+#include "scheduler/table_watch.h"
+
+namespace bronze {
+
+namespace {
+
+/** A connection can go silent; the wait bounds how late a change is seen. The
+ *  tightest bound on a change of the configuration is 2 s. */
+constexpr Duration kWatchWait = milliseconds(900);
+constexpr Duration kReadTimeout = milliseconds(1500);
+constexpr Duration kRetryPause = milliseconds(150);
+
+}  // namespace
+
+TableWatch::TableWatch(boost::asio::io_context& aContext, StoreClient& aStore,
+                       EventLog& aLog, std::string aTable,
+                       TableListener aListener)
+    : m_store(aStore),
+      m_log(aLog),
+      m_table(std::move(aTable)),
+      m_listener(std::move(aListener)),
+      m_timer(aContext) {}
+
+void TableWatch::Start() { ReadFrom(""); }
+
+void TableWatch::Stop() {
+  m_stopped = true;
+  m_timer.cancel();
+}
+
+void TableWatch::ReadFrom(std::string aFrom) {
+  if (m_stopped) return;
+  const bool continued = !aFrom.empty();
+  if (!continued) m_listed.clear();
+  m_store.Read(m_table, "", aFrom, kReadTimeout,
+               [self = shared_from_this(), continued](RowsResult aResult) {
+                 self->OnRows(std::move(aResult), continued);
+               });
+}
+
+void TableWatch::OnRows(RowsResult aResult, bool aContinued) {
+  if (m_stopped) return;
+  if (aResult.m_outcome != StoreOutcome::Done) {
+    Retry();
+    return;
+  }
+  if (!m_reachable) {
+    m_log.Write("[store]", "regained table={}", m_table);
+    m_reachable = true;
+  }
+  // Changes during a read of several answers are told by the watch, so it
+  // starts from the first answer's version.
+  if (!aContinued) m_version = aResult.m_version;
+  for (const StoreRow& row : aResult.m_rows) {
+    m_listed.insert(row.m_key.m_key);
+    Apply(row);
+  }
+  if (aResult.m_truncated && !aResult.m_rows.empty()) {
+    // The lowest key after the last one.
+    ReadFrom(aResult.m_rows.back().m_key.m_key + "%00");
+    return;
+  }
+  const std::set<std::string> known = m_known;
+  for (const std::string& key : known) {
+    if (m_listed.count(key) > 0) continue;
+    m_known.erase(key);
+    m_listener.m_removed(key);
+  }
+  WatchChanges();
+}
+
+void TableWatch::WatchChanges() {
+  if (m_stopped) return;
+  m_store.Watch(m_table, m_version, kWatchWait,
+                [self = shared_from_this()](RowsResult aResult) {
+                  self->OnChanges(std::move(aResult));
+                });
+}
+
+void TableWatch::OnChanges(RowsResult aResult) {
+  if (m_stopped) return;
+  if (aResult.m_outcome == StoreOutcome::HistoryLost) {
+    m_log.Write("[store]", "history lost table={} after={}", m_table,
+                m_version.Value());
+    ReadFrom("");
+    return;
+  }
+  if (aResult.m_outcome != StoreOutcome::Done) {
+    Retry();
+    return;
+  }
+  for (const StoreRow& row : aResult.m_rows) Apply(row);
+  m_version = std::max(m_version, aResult.m_version);
+  WatchChanges();
+}
+
+void TableWatch::Retry() {
+  if (m_reachable) {
+    m_log.Write("[store]", "lost table={} version={}", m_table,
+                m_version.Value());
+    m_reachable = false;
+  }
+  m_timer.expires_after(kRetryPause);
+  m_timer.async_wait(
+      [self = shared_from_this()](boost::system::error_code aError) {
+        if (!aError) self->ReadFrom("");
+      });
+}
+
+void TableWatch::Apply(const StoreRow& aRow) {
+  if (!aRow.m_key.m_part.empty()) return;
+  if (aRow.m_deleted) {
+    if (m_known.erase(aRow.m_key.m_key) > 0) {
+      m_listener.m_removed(aRow.m_key.m_key);
+    }
+    return;
+  }
+  m_known.insert(aRow.m_key.m_key);
+  m_listener.m_changed(aRow);
+}
+
+}  // namespace bronze
--- a/src/platform/table_client.cpp
+++ b/src/tableservice/table_client.cpp
@@ -2,7 +2,7 @@
  * @file table_client.cpp Client of the platform's table service.
  */
 
-#include "platform/table_client.h"
+#include "tableservice/table_client.h"
 
 #include <fmt/format.h>
 
--- a/src/platform/table_client.h
+++ b/src/tableservice/table_client.h
@@ -2,8 +2,8 @@
  * @file table_client.h Client of the platform's table service.
  */
 
-#ifndef BRONZE_PLATFORM_TABLE_CLIENT_H_
-#define BRONZE_PLATFORM_TABLE_CLIENT_H_
+#ifndef BRONZE_TABLESERVICE_TABLE_CLIENT_H_
+#define BRONZE_TABLESERVICE_TABLE_CLIENT_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -46,4 +46,4 @@
 
 }  // namespace bronze
 
-#endif  // BRONZE_PLATFORM_TABLE_CLIENT_H_
+#endif  // BRONZE_TABLESERVICE_TABLE_CLIENT_H_
--- a/src/platform/vm_list_client.cpp
+++ b/src/tableservice/vm_list_client.cpp
@@ -2,7 +2,7 @@
  * @file vm_list_client.cpp Reads the platform's list of VMs.
  */
 
-#include "platform/vm_list_client.h"
+#include "tableservice/vm_list_client.h"
 
 #include "codec/vm_list_json.h"
 
--- a/src/platform/vm_list_client.h
+++ b/src/tableservice/vm_list_client.h
@@ -2,8 +2,8 @@
  * @file vm_list_client.h Reads the platform's list of VMs.
  */
 
-#ifndef BRONZE_PLATFORM_VM_LIST_CLIENT_H_
-#define BRONZE_PLATFORM_VM_LIST_CLIENT_H_
+#ifndef BRONZE_TABLESERVICE_VM_LIST_CLIENT_H_
+#define BRONZE_TABLESERVICE_VM_LIST_CLIENT_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -33,4 +33,4 @@
 
 }  // namespace bronze
 
-#endif  // BRONZE_PLATFORM_VM_LIST_CLIENT_H_
+#endif  // BRONZE_TABLESERVICE_VM_LIST_CLIENT_H_
--- a/src/platform/worker_client.cpp
+++ b/src/tableservice/worker_client.cpp
@@ -2,7 +2,7 @@
  * @file worker_client.cpp Client of the platform's workers.
  */
 
-#include "platform/worker_client.h"
+#include "tableservice/worker_client.h"
 
 namespace bronze {
 
--- a/src/platform/worker_client.h
+++ b/src/tableservice/worker_client.h
@@ -2,8 +2,8 @@
  * @file worker_client.h Client of the platform's workers.
  */
 
-#ifndef BRONZE_PLATFORM_WORKER_CLIENT_H_
-#define BRONZE_PLATFORM_WORKER_CLIENT_H_
+#ifndef BRONZE_TABLESERVICE_WORKER_CLIENT_H_
+#define BRONZE_TABLESERVICE_WORKER_CLIENT_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -49,4 +49,4 @@
 
 }  // namespace bronze
 
-#endif  // BRONZE_PLATFORM_WORKER_CLIENT_H_
+#endif  // BRONZE_TABLESERVICE_WORKER_CLIENT_H_
