sched: learn which images harm which; pack tasks that last by image

Cause: fills were paced to a standstill wherever any tail was high, although only some pairs of images disturb each other (trial, offline: most pairs change a tail by less than 5 %, a few by 20 % to 300 % at a tenth of the cores). The owner now learns a weight for each pair from the reports, places fills where no harmed image runs or its tail stays below 0.75 of the target, and moves a harmful fill.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -42,8 +42,11 @@
   /** Share of declared cores that a serving task uses on average, until
    *  measured. */
   double m_servingUse = 0.6;
-  double m_paceDownAt = 0.85;  ///< Tail over target that lowers the pace.
-  double m_paceUpAt = 0.6;     ///< Tail over target that raises the pace.
+  /** Tail over target, as predicted, up to which tasks that fill are placed
+   *  beside a serving task. */
+  double m_placeBelow = 0.75;
+  /** Tail over target, as measured, from which fills that harm are moved. */
+  double m_moveAbove = 0.9;
   /** Steps of the queue looked at in one pass without finding a place. */
   uint32_t m_maxMisses = 48;
   uint32_t m_maxOpenJobs = 20000;  ///< More are refused.
@@ -114,6 +117,7 @@
   std::vector<JobId> m_removed;           ///< Rows to delete from the store.
   std::vector<Order> m_orders;            ///< To be sent, in order.
   std::map<QueueId, uint32_t> m_pending;  ///< Jobs of which nothing started.
+  HarmTable m_harm;
   bool m_capacityChanged = true;  ///< A pass over the queue may find a place.
   CellCounts m_counts;
 };
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -206,7 +206,7 @@
   job.m_specStored = true;
   job.m_storedVersion = job.m_version;
   job.m_anyStarted = aState.m_anyStarted;
-  IndexSteps(job);
+  IndexSteps(aCell, job);
   for (const StoredOccurrence& occurrence : aState.m_occurrences) {
     RestoreOccurrence(aCell, job, occurrence, aNow, aUnixNow);
   }
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -85,7 +85,7 @@
   Job& job = aCell.m_jobs[id];
   job.m_spec = std::move(aSpec);
   job.m_spec.m_acceptedAt = aUnixNow;
-  IndexSteps(job);
+  IndexSteps(aCell, job);
   Touch(aCell, job);
   ++aCell.m_counts.m_accepted;
   if (job.m_spec.m_maxRuns == 0) {
--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -7,48 +7,102 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
+#include "core/sched/harm_func.h"
 #include "core/sched/task_internal.h"
 
 namespace bronze::sched {
 
 namespace {
 
-/** A tail is a figure for the last half second, so a change of pace shows in
- *  full only after that. */
-constexpr Duration kPaceSettles = milliseconds(600);
-/** Paced below half for this long: the place does not suit the tasks. */
-constexpr Duration kMoveAfter = milliseconds(1500);
-constexpr int kPaceDownFactor = 2;  ///< One step down halves the pace.
-constexpr int kPaceUpStep = 25;     ///< Percent added by one step up.
-constexpr int kLowestPace = 12;     ///< Below this the pace is 0.
-
-double WorstTail(Cell& aCell, const Runner& aRunner) {
-  double worst = 0.0;
+/** Weight of a measurement in a baseline while nothing disturbs the task; its
+ *  own load swings within some ten seconds. */
+constexpr double kBaselineWeight = 0.35;
+/** The same while fills with a known effect run beside it. */
+constexpr double kDisturbedWeight = 0.1;
+/** A tail counts as undisturbed below this log of the fills' factor. */
+constexpr double kUndisturbed = 0.05;
+/** A fill is moved when its part in a tail that is too long exceeds this log. */
+constexpr double kBlame = 0.08;
+/** A tail over its target for this long stops all fills beside it. The bound of
+ *  the rules is several seconds; a tail shows a change after half a second. */
+constexpr Duration kStandstillAfter = milliseconds(900);
+/** Fills work again once no tail has been over this share of its target. */
+constexpr double kResumeBelow = 0.7;
+/** A runner at a standstill for this long gives its fills away. */
+constexpr Duration kMoveAllAfter = milliseconds(2000);
+
+double CapacityOf(const Runner& aRunner) {
+  return std::max<double>(
+      1.0,
+      static_cast<double>(aRunner.m_entry.m_capacity.m_cores.Value()));
+}
+
+/** Shares of the runner's cores that fills used, by their measurements. */
+std::vector<UsedShare> UsedShares(Cell& aCell, const Runner& aRunner) {
+  std::vector<UsedShare> shares;
   for (const TaskKey& key : aRunner.m_tasks) {
     const TaskPlace place = FindTask(aCell, key);
-    if (place.m_task == nullptr) continue;
-    const Duration target = place.m_step->m_tailTarget;
-    if (target.count() <= 0) continue;
-    if (place.m_task->m_phase != TaskPhase::Running) continue;
-    const auto tail = static_cast<double>(place.m_task->m_measure) * 1000.0;
-    worst = std::max(worst, tail / static_cast<double>(target.count()));
+    if (place.m_task == nullptr || !place.m_step->m_fills) continue;
+    if (place.m_task->m_measure <= 0) continue;
+    const double share =
+        static_cast<double>(place.m_task->m_measure) / CapacityOf(aRunner);
+    const auto known = std::find_if(
+        shares.begin(), shares.end(), [&](const UsedShare& aShare) {
+          return aShare.m_image == place.m_step->m_imageIndex;
+        });
+    if (known == shares.end()) {
+      shares.push_back({place.m_step->m_imageIndex, share});
+    } else {
+      known->m_share += share;
+    }
   }
-  return worst;
+  return shares;
 }
 
-int NextPace(const CellSettings& aSettings, const Runner& aRunner,
-             TimePoint aNow) {
-  const bool settled = aNow - aRunner.m_paceChangedAt >= kPaceSettles;
-  if (aRunner.m_pressure > 1.0 && settled) return 0;
-  if (aRunner.m_pressure > aSettings.m_paceDownAt && settled) {
-    const int lower = aRunner.m_pace / kPaceDownFactor;
-    return lower < kLowestPace ? 0 : lower;
+void LearnFromTail(Cell& aCell, const TaskPlace& aPlace,
+                   const std::vector<UsedShare>& aUsed) {
+  Task& task = *aPlace.m_task;
+  const auto tail = static_cast<double>(task.m_measure);
+  const ImageIndex image = aPlace.m_step->m_imageIndex;
+  if (task.m_baseline > 0.0) {
+    LearnHarm(aCell.m_harm, aUsed, image, std::log(tail / task.m_baseline));
+  }
+  const double factor = LogFactor(aCell.m_harm, aUsed, image);
+  const double undisturbed = tail / std::exp(factor);
+  if (task.m_baseline <= 0.0) {
+    task.m_baseline = undisturbed;
+    return;
   }
-  if (aRunner.m_pressure < aSettings.m_paceUpAt && settled) {
-    return std::min(100, aRunner.m_pace + kPaceUpStep);
+  const double weight =
+      factor < kUndisturbed ? kBaselineWeight : kDisturbedWeight;
+  task.m_baseline += weight * (undisturbed - task.m_baseline);
+}
+
+/** Reads the tails of the report into the runner's view. */
+void UpdateServing(Cell& aCell, Runner& aRunner,
+                   const std::vector<UsedShare>& aUsed) {
+  aRunner.m_serving.clear();
+  aRunner.m_pressure = 0.0;
+  for (const TaskKey& key : aRunner.m_tasks) {
+    const TaskPlace place = FindTask(aCell, key);
+    if (place.m_task == nullptr || !place.m_step->m_longRunning) continue;
+    ServingView view;
+    view.m_image = place.m_step->m_imageIndex;
+    const double target =
+        static_cast<double>(place.m_step->m_tailTarget.count()) / 1000.0;
+    const bool measured = place.m_task->m_phase == TaskPhase::Running &&
+                          place.m_task->m_measure > 0 && target > 0.0;
+    if (measured) {
+      LearnFromTail(aCell, place, aUsed);
+      view.m_pressure =
+          static_cast<double>(place.m_task->m_measure) / target;
+      view.m_logBase = std::log(place.m_task->m_baseline / target);
+      aRunner.m_pressure = std::max(aRunner.m_pressure, view.m_pressure);
+    }
+    aRunner.m_serving.push_back(view);
   }
-  return aRunner.m_pace;
 }
 
 bool IsRunningFill(const TaskPlace& aPlace) {
@@ -56,52 +110,64 @@
          aPlace.m_task->m_phase == TaskPhase::Running;
 }
 
-void OrderPaces(Cell& aCell, RunnerIndex aIndex) {
-  const Runner& runner = aCell.m_runners[aIndex.Value()];
-  for (const TaskKey& key : runner.m_tasks) {
-    const TaskPlace place = FindTask(aCell, key);
-    if (!IsRunningFill(place) || place.m_task->m_pace == runner.m_pace) {
-      continue;
-    }
-    place.m_task->m_pace = runner.m_pace;
-    ++aCell.m_counts.m_paces;
-    aCell.m_orders.emplace_back(
-        PaceOrder{key, place.m_task->m_run, aIndex, runner.m_pace});
+/** Largest part of the fill in a tail that is over the limit, as a log. */
+double Blame(const Cell& aCell, const Runner& aRunner, const StepSpec& aStep) {
+  const double share =
+      static_cast<double>(aStep.m_need.m_cores.Value()) / CapacityOf(aRunner);
+  double blame = 0.0;
+  for (const ServingView& serving : aRunner.m_serving) {
+    if (serving.m_pressure < aCell.m_settings.m_moveAbove) continue;
+    blame = std::max(
+        blame,
+        share * Harm(aCell.m_harm, aStep.m_imageIndex, serving.m_image));
   }
+  return blame;
 }
 
-void MoveFills(Cell& aCell, RunnerIndex aIndex, TimePoint aNow) {
-  const std::vector<TaskKey> keys = aCell.m_runners[aIndex.Value()].m_tasks;
-  for (const TaskKey& key : keys) {
-    const TaskPlace place = FindTask(aCell, key);
-    if (!IsRunningFill(place) || !place.m_step->m_savesProgress) continue;
-    place.m_task->m_avoid = aIndex;
-    place.m_task->m_phase = TaskPhase::Stopping;
-    place.m_task->m_phaseSince = aNow;
-    OrderStop(aCell, key, *place.m_task, aNow);
-  }
+void MoveFill(Cell& aCell, RunnerIndex aIndex, const TaskKey& aKey,
+              const TaskPlace& aPlace, TimePoint aNow) {
+  aPlace.m_task->m_avoid = aIndex;
+  aPlace.m_task->m_phase = TaskPhase::Stopping;
+  aPlace.m_task->m_phaseSince = aNow;
+  OrderStop(aCell, aKey, *aPlace.m_task, aNow);
+}
+
+void OrderPace(Cell& aCell, RunnerIndex aIndex, const TaskKey& aKey,
+               Task& aTask, int aPercent) {
+  if (aTask.m_pace == aPercent) return;
+  aTask.m_pace = aPercent;
+  ++aCell.m_counts.m_paces;
+  aCell.m_orders.emplace_back(PaceOrder{aKey, aTask.m_run, aIndex, aPercent});
 }
 
 }  // namespace
 
 void PaceRunner(Cell& aCell, RunnerIndex aIndex, TimePoint aNow) {
   Runner& runner = aCell.m_runners[aIndex.Value()];
-  runner.m_pressure = WorstTail(aCell, runner);
-  const int pace = NextPace(aCell.m_settings, runner, aNow);
-  if (pace != runner.m_pace) {
-    LogDecision(aCell,
-                fmt::format("pace runner={} from={} to={} pressure={:.2f}",
-                            runner.m_entry.m_id.Value(), runner.m_pace, pace,
-                            runner.m_pressure));
-    if (pace < 50 && runner.m_pace >= 50) runner.m_pacedBelowSince = aNow;
-    runner.m_pace = pace;
-    runner.m_paceChangedAt = aNow;
-    aCell.m_capacityChanged = true;
-  }
-  OrderPaces(aCell, aIndex);
-  if (runner.m_pace < 50 && aNow - runner.m_pacedBelowSince > kMoveAfter) {
-    MoveFills(aCell, aIndex, aNow);
-    runner.m_pacedBelowSince = aNow;
+  UpdateServing(aCell, runner, UsedShares(aCell, runner));
+  const bool over = runner.m_pressure > 1.0;
+  if (over && !runner.m_over) runner.m_overSince = aNow;
+  const bool resumes = runner.m_pressure < kResumeBelow;
+  runner.m_over = over || (runner.m_over && !resumes);
+  const Duration overFor =
+      runner.m_over ? aNow - runner.m_overSince : Duration::zero();
+  const std::vector<TaskKey> keys = runner.m_tasks;
+  for (const TaskKey& key : keys) {
+    const TaskPlace place = FindTask(aCell, key);
+    if (!IsRunningFill(place)) continue;
+    const double blame = Blame(aCell, runner, *place.m_step);
+    if (blame > kBlame || overFor > kMoveAllAfter) {
+      LogDecision(aCell,
+                  fmt::format("move task={} runner={} pressure={:.2f} "
+                              "blame={:.2f} over_ms={}",
+                              TaskText(key), runner.m_entry.m_id.Value(),
+                              runner.m_pressure, blame,
+                              overFor.count() / 1000));
+      MoveFill(aCell, aIndex, key, place, aNow);
+      continue;
+    }
+    OrderPace(aCell, aIndex, key, *place.m_task,
+              overFor > kStandstillAfter ? 0 : 100);
   }
 }
 
--- a/src/core/sched/pacing_func.h
+++ b/src/core/sched/pacing_func.h
@@ -10,11 +10,12 @@
 namespace bronze::sched {
 
 /**
- * Sets the share at which the runner's filling tasks work, from the tails in
- * its last report, and orders the change. Tasks that stay paced low for long
- * are stopped at a checkpoint and placed elsewhere.
+ * Learns from the runner's last report which images harm which, and acts where
+ * a tail is over its limit: fills that are known to harm it are moved at once;
+ * if the tail stays over its target, all fills there are paced to a standstill
+ * until it is well below.
  */
-void PaceRunner(Cell& aCell, RunnerIndex aRunner, TimePoint aNow);
+void PaceRunner(Cell& aCell, RunnerIndex aIndex, TimePoint aNow);
 
 }  // namespace bronze::sched
 
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -5,6 +5,9 @@
 #include "core/sched/placement_func.h"
 
 #include <algorithm>
+#include <cmath>
+
+#include "core/sched/harm_func.h"
 
 namespace bronze::sched {
 
@@ -15,9 +18,14 @@
 /** A runner to avoid is taken only when no other has room. */
 constexpr double kAvoidPenalty = 8.0;
 constexpr double kSlownessWeight = 0.5;
-constexpr double kPressureWeight = 1.0;
-/** A tail this close to its target leaves nothing for tasks that fill. */
-constexpr double kFillPressureLimit = 0.8;
+/** Weight of a fill's predicted effect on tails, as a log of their factor. */
+constexpr double kHarmWeight = 1.0;
+/** A pair with less effect than this does no harm: measurements are rough. */
+constexpr double kHarmless = 0.04;
+/** Tasks that last are packed, those of one image together, so that some
+ *  runners stay free of images that a given fill harms. */
+constexpr double kPackWeight = 1.0;
+constexpr double kSameImageWeight = 0.5;
 /** Tasks that fill may ask for so much of the unused cores; what exceeds 1
  *  makes all of them slower. */
 constexpr double kFillOvercommit = 1.1;
@@ -54,30 +62,68 @@
   return Fits(used + need, aRunner.m_entry.m_capacity);
 }
 
+namespace {
+
+/** Share of the serving tasks there that run the step's image. */
+double SameImageShare(const Runner& aRunner, const StepSpec& aStep) {
+  if (aRunner.m_serving.empty()) return 0.0;
+  const auto same = std::count_if(
+      aRunner.m_serving.begin(), aRunner.m_serving.end(),
+      [&](const ServingView& aView) {
+        return aView.m_image == aStep.m_imageIndex;
+      });
+  return static_cast<double>(same) /
+         static_cast<double>(aRunner.m_serving.size());
+}
+
+}  // namespace
+
 double Score(const CellSettings& aSettings, const Runner& aRunner,
              const StepSpec& aStep) {
   const double capacity =
       std::max(1.0, Cores(aRunner.m_entry.m_capacity.m_cores));
-  const double used = UsedCores(aSettings, aRunner);
-  const double free = capacity - used - Cores(aRunner.m_fillDemand) -
+  const double slowness =
+      kSlownessWeight * std::max(0.0, aRunner.m_slowness - 1.0);
+  if (aStep.m_longRunning) {
+    const double reserved = Cores(aRunner.m_reserved.m_cores) / capacity;
+    return kPackWeight * reserved +
+           kSameImageWeight * SameImageShare(aRunner, aStep) - slowness;
+  }
+  const double free = capacity - UsedCores(aSettings, aRunner) -
+                      Cores(aRunner.m_fillDemand) -
                       Cores(aStep.m_need.m_cores);
-  // Tasks that last are spread by what they reserve, since their load varies.
-  const double reserved = Cores(aRunner.m_reserved.m_cores) / capacity;
-  const double base = aStep.m_longRunning ? -reserved : free / capacity;
-  const double pressure =
-      aStep.m_fills ? kPressureWeight * aRunner.m_pressure : 0.0;
-  return base - pressure -
-         kSlownessWeight * std::max(0.0, aRunner.m_slowness - 1.0);
+  return free / capacity - slowness;
+}
+
+FillEffect PredictFill(const Cell& aCell, const Runner& aRunner,
+                       const StepSpec& aStep) {
+  FillEffect effect;
+  const double capacity =
+      std::max(1.0, Cores(aRunner.m_entry.m_capacity.m_cores));
+  for (const ServingView& serving : aRunner.m_serving) {
+    double present = serving.m_logBase;
+    for (const FillLoad& load : aRunner.m_fillLoads) {
+      if (load.m_millicores <= 0) continue;
+      present += Harm(aCell.m_harm, load.m_image, serving.m_image) *
+                 static_cast<double>(load.m_millicores) / capacity;
+    }
+    const double added =
+        Harm(aCell.m_harm, aStep.m_imageIndex, serving.m_image) *
+        Cores(aStep.m_need.m_cores) / capacity;
+    effect.m_added = std::max(effect.m_added, added);
+    if (added > kHarmless) {
+      effect.m_pressure =
+          std::max(effect.m_pressure, std::exp(present + added));
+    }
+  }
+  return effect;
 }
 
 namespace {
 
-/** Whether a task that fills would get cores there and harm nobody. */
-bool SuitsFill(const CellSettings& aSettings, const Runner& aRunner,
-               const StepSpec& aStep) {
-  if (aRunner.m_pace < 100 || aRunner.m_pressure > kFillPressureLimit) {
-    return false;
-  }
+/** Whether a task that fills would get cores there. */
+bool HasUnusedCores(const CellSettings& aSettings, const Runner& aRunner,
+                    const StepSpec& aStep) {
   const double unused =
       Cores(aRunner.m_entry.m_capacity.m_cores) - UsedCores(aSettings, aRunner);
   return Cores(aRunner.m_fillDemand + aStep.m_need.m_cores) <=
@@ -97,7 +143,13 @@
     // After a quarantine one task probes the runner.
     if (runner.m_quarantineCount > 0 && !runner.m_tasks.empty()) continue;
     if (!HasRoom(runner, step)) continue;
-    if (step.m_fills && !SuitsFill(aCell.m_settings, runner, step)) continue;
+    double harm = 0.0;
+    if (step.m_fills) {
+      if (!HasUnusedCores(aCell.m_settings, runner, step)) continue;
+      const FillEffect effect = PredictFill(aCell, runner, step);
+      if (effect.m_pressure > aCell.m_settings.m_placeBelow) continue;
+      harm = effect.m_added;
+    }
     if (!step.m_requiredLabel.empty() &&
         !HasLabel(runner, step.m_requiredLabel)) {
       continue;
@@ -107,7 +159,8 @@
         aQuery.m_sameStep(index) >= step.m_antiAffinity) {
       continue;
     }
-    double score = Score(aCell.m_settings, runner, step);
+    double score =
+        Score(aCell.m_settings, runner, step) - kHarmWeight * harm;
     if (!aQuery.m_rack.empty() && runner.m_rack == aQuery.m_rack) {
       score += kRackBonus;
     }
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -23,6 +23,15 @@
 [[nodiscard]] double Score(const CellSettings& aSettings, const Runner& aRunner,
                            const StepSpec& aStep);
 
+/** What a task that fills would do to the serving tasks of a runner. */
+struct FillEffect {
+  double m_added = 0.0;     ///< Largest log of the factor on a tail.
+  double m_pressure = 0.0;  ///< Highest tail over target among those harmed.
+};
+
+[[nodiscard]] FillEffect PredictFill(const Cell& aCell, const Runner& aRunner,
+                                     const StepSpec& aStep);
+
 /** What one search needs beside the runners. */
 struct PlacementQuery {
   const StepSpec* m_step = nullptr;
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -84,8 +84,9 @@
   aRunner.m_quarantineCount = 0;
   aRunner.m_quarantinedUntil = TimePoint();
   aRunner.m_slowness = 1.0;
-  aRunner.m_pace = 100;
   aRunner.m_pressure = 0.0;
+  aRunner.m_over = false;
+  aRunner.m_serving.clear();
   aRunner.m_nextHoldAt = aNow;
 }
 
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -214,7 +214,7 @@
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task == nullptr) continue;
     Task& task = *place.m_task;
-    if (task.m_phase != TaskPhase::Running || aRunner.m_pace < 100) continue;
+    if (task.m_phase != TaskPhase::Running || task.m_pace < 100) continue;
     if (place.m_step->m_longRunning && task.m_percent >= 100) continue;
     const Duration limit =
         aCell.m_settings.m_stallTime + place.m_step->m_estimate / 2;
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 
+#include "core/sched/harm_func.h"
+
 namespace bronze::sched {
 
 TaskPlace FindTask(Cell& aCell, const TaskKey& aKey) {
@@ -40,6 +42,20 @@
          aPhase != TaskPhase::Done;
 }
 
+namespace {
+
+void AddFillLoad(Runner& aRunner, const StepSpec& aStep, Millicores aCores) {
+  aRunner.m_fillDemand += aCores;
+  for (FillLoad& load : aRunner.m_fillLoads) {
+    if (load.m_image != aStep.m_imageIndex) continue;
+    load.m_millicores += aCores.Value();
+    return;
+  }
+  aRunner.m_fillLoads.push_back({aStep.m_imageIndex, aCores.Value()});
+}
+
+}  // namespace
+
 void Reserve(Cell& aCell, const TaskKey& aKey, const StepSpec& aStep,
              Task& aTask, RunnerIndex aRunner) {
   Runner& runner = aCell.m_runners[aRunner.Value()];
@@ -47,7 +63,7 @@
   runner.m_tasks.push_back(aKey);
   if (aStep.m_fills) {
     runner.m_fillMemory += aStep.m_need.m_memory;
-    runner.m_fillDemand += aStep.m_need.m_cores;
+    AddFillLoad(runner, aStep, aStep.m_need.m_cores);
     return;
   }
   runner.m_reserved += aStep.m_need;
@@ -61,10 +77,11 @@
   aTask.m_runner = RunnerIndex();
   aTask.m_pace = 100;
   aTask.m_measure = 0;
+  aTask.m_baseline = 0.0;
   aCell.m_capacityChanged = true;
   if (aStep.m_fills) {
     runner.m_fillMemory -= aStep.m_need.m_memory;
-    runner.m_fillDemand -= aStep.m_need.m_cores;
+    AddFillLoad(runner, aStep, Millicores() - aStep.m_need.m_cores);
     return;
   }
   runner.m_reserved -= aStep.m_need;
@@ -211,10 +228,11 @@
   if (aPhase == JobPhase::Cancelled) ++aCell.m_counts.m_cancelled;
 }
 
-void IndexSteps(Job& aJob) {
+void IndexSteps(Cell& aCell, Job& aJob) {
   aJob.m_stepOffset.clear();
   uint32_t offset = 0;
-  for (const StepSpec& step : aJob.m_spec.m_steps) {
+  for (StepSpec& step : aJob.m_spec.m_steps) {
+    step.m_imageIndex = ImageByName(aCell.m_harm, step.m_image);
     aJob.m_stepOffset.push_back(offset);
     offset += step.m_count;
   }
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -59,8 +59,8 @@
 /** Creates the occurrence's tasks; steps without predecessors become ready. */
 void BeginOccurrence(Cell& aCell, Job& aJob, uint32_t aNumber, TimePoint aNow);
 
-/** Sets the offsets of the steps from the spec. */
-void IndexSteps(Job& aJob);
+/** Sets the offsets and image indexes of the steps from the spec. */
+void IndexSteps(Cell& aCell, Job& aJob);
 
 /** @return the objective of the job as a moment. */
 [[nodiscard]] TimePoint DueTime(const JobSpec& aSpec, TimePoint aFrom);
