sched: short tasks keep a reserve; tails remember fills that have ended

Cause: tasks that last filled 96 % of the cores, so short steps waited 2.7 s at the 90th percentile; and a tail read just after a fill had ended raised the baseline. Ruled out: refused starts (none).

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -42,6 +42,11 @@
   /** Share of declared cores that a serving task uses on average, until
    *  measured. */
   double m_servingUse = 0.6;
+  /** Part of all cores that tasks which last leave to short tasks, at least
+   *  and at most; between the two the recent demand decides. */
+  double m_shortReserveLeast = 0.05;
+  double m_shortReserveMost = 0.15;
+  Duration m_shortDemandMemory = seconds(15);  ///< Time in which a peak halves.
   /** Tail over target, as predicted, up to which tasks that fill are placed
    *  beside a serving task. */
   double m_placeBelow = 0.75;
@@ -117,6 +122,9 @@
   std::vector<JobId> m_removed;           ///< Rows to delete from the store.
   std::vector<Order> m_orders;            ///< To be sent, in order.
   std::map<QueueId, uint32_t> m_pending;  ///< Jobs of which nothing started.
+  Millicores m_shortDemand;  ///< Cores that short tasks have or wait for.
+  double m_shortPeak = 0.0;  ///< Fading peak of m_shortDemand, millicores.
+  TimePoint m_shortPeakAt;   ///< When m_shortPeak was updated.
   HarmTable m_harm;
   bool m_capacityChanged = true;  ///< A pass over the queue may find a place.
   CellCounts m_counts;
--- a/src/core/sched/harm_func.h
+++ b/src/core/sched/harm_func.h
@@ -15,11 +15,7 @@
 [[nodiscard]] double Harm(const HarmTable& aTable, ImageIndex aFill,
                           ImageIndex aServing);
 
-/** Share of a runner's cores that one image used in a measurement. */
-struct UsedShare {
-  ImageIndex m_image;
-  double m_share = 0.0;
-};
+
 
 /** @return the sum of harm times share: the log of the factor on the tail. */
 [[nodiscard]] double LogFactor(const HarmTable& aTable,
--- a/src/core/sched/harm_type.h
+++ b/src/core/sched/harm_type.h
@@ -36,6 +36,12 @@
   double m_pressure = 0.0;  ///< Last tail over target.
 };
 
+/** Share of a runner's cores that one image used in measurements. */
+struct UsedShare {
+  ImageIndex m_image;
+  double m_share = 0.0;
+};
+
 /** Cores that one image's filling tasks ask for on a runner. */
 struct FillLoad {
   ImageIndex m_image;
--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -30,6 +30,11 @@
 constexpr Duration kStandstillAfter = milliseconds(900);
 /** Fills work again once no tail has been over this share of its target. */
 constexpr double kResumeBelow = 0.7;
+/** Tails are figures for the last half second. */
+constexpr Duration kTailMemory = milliseconds(400);
+/** Reports closer together than this show the same half second. */
+constexpr Duration kLearnPause = milliseconds(250);
+constexpr double kNegligibleShare = 0.002;
 /** A runner at a standstill for this long gives its fills away. */
 constexpr Duration kMoveAllAfter = milliseconds(2000);
 
@@ -39,9 +44,20 @@
       static_cast<double>(aRunner.m_entry.m_capacity.m_cores.Value()));
 }
 
-/** Shares of the runner's cores that fills used, by their measurements. */
-std::vector<UsedShare> UsedShares(Cell& aCell, const Runner& aRunner) {
-  std::vector<UsedShare> shares;
+void RaiseShare(std::vector<UsedShare>& aShares, ImageIndex aImage,
+                double aShare) {
+  for (UsedShare& known : aShares) {
+    if (known.m_image != aImage) continue;
+    known.m_share = std::max(known.m_share, aShare);
+    return;
+  }
+  aShares.push_back({aImage, aShare});
+}
+
+/** Updates the shares of the runner's cores that fills used. What a fill that
+ *  has ended did still shows in tails for half a second, so it fades. */
+void UpdateUsed(Cell& aCell, Runner& aRunner, Duration aElapsed) {
+  std::vector<UsedShare> present;
   for (const TaskKey& key : aRunner.m_tasks) {
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task == nullptr || !place.m_step->m_fills) continue;
@@ -49,16 +65,24 @@
     const double share =
         static_cast<double>(place.m_task->m_measure) / CapacityOf(aRunner);
     const auto known = std::find_if(
-        shares.begin(), shares.end(), [&](const UsedShare& aShare) {
+        present.begin(), present.end(), [&](const UsedShare& aShare) {
           return aShare.m_image == place.m_step->m_imageIndex;
         });
-    if (known == shares.end()) {
-      shares.push_back({place.m_step->m_imageIndex, share});
+    if (known == present.end()) {
+      present.push_back({place.m_step->m_imageIndex, share});
     } else {
       known->m_share += share;
     }
   }
-  return shares;
+  const double fade = std::exp(-static_cast<double>(aElapsed.count()) /
+                               static_cast<double>(kTailMemory.count()));
+  for (UsedShare& used : aRunner.m_used) used.m_share *= fade;
+  for (const UsedShare& share : present) {
+    RaiseShare(aRunner.m_used, share.m_image, share.m_share);
+  }
+  std::erase_if(aRunner.m_used, [](const UsedShare& aShare) {
+    return aShare.m_share < kNegligibleShare;
+  });
 }
 
 void LearnFromTail(Cell& aCell, const TaskPlace& aPlace,
@@ -81,8 +105,13 @@
 }
 
 /** Reads the tails of the report into the runner's view. */
-void UpdateServing(Cell& aCell, Runner& aRunner,
-                   const std::vector<UsedShare>& aUsed) {
+void UpdateServing(Cell& aCell, Runner& aRunner, TimePoint aNow) {
+  const Duration elapsed = aNow - aRunner.m_usedAt;
+  const bool learns = elapsed >= kLearnPause;
+  if (learns) {
+    UpdateUsed(aCell, aRunner, elapsed);
+    aRunner.m_usedAt = aNow;
+  }
   aRunner.m_serving.clear();
   aRunner.m_pressure = 0.0;
   for (const TaskKey& key : aRunner.m_tasks) {
@@ -95,10 +124,12 @@
     const bool measured = place.m_task->m_phase == TaskPhase::Running &&
                           place.m_task->m_measure > 0 && target > 0.0;
     if (measured) {
-      LearnFromTail(aCell, place, aUsed);
+      if (learns) LearnFromTail(aCell, place, aRunner.m_used);
       view.m_pressure =
           static_cast<double>(place.m_task->m_measure) / target;
-      view.m_logBase = std::log(place.m_task->m_baseline / target);
+      if (place.m_task->m_baseline > 0.0) {
+        view.m_logBase = std::log(place.m_task->m_baseline / target);
+      }
       aRunner.m_pressure = std::max(aRunner.m_pressure, view.m_pressure);
     }
     aRunner.m_serving.push_back(view);
@@ -144,7 +175,7 @@
 
 void PaceRunner(Cell& aCell, RunnerIndex aIndex, TimePoint aNow) {
   Runner& runner = aCell.m_runners[aIndex.Value()];
-  UpdateServing(aCell, runner, UsedShares(aCell, runner));
+  UpdateServing(aCell, runner, aNow);
   const bool over = runner.m_pressure > 1.0;
   if (over && !runner.m_over) runner.m_overSince = aNow;
   const bool resumes = runner.m_pressure < kResumeBelow;
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/sched/placement_func.h"
 #include "core/sched/task_internal.h"
@@ -115,6 +116,26 @@
   return {};
 }
 
+/** Whether short tasks keep their reserve if one more task lasts. */
+bool LeavesShortReserve(const Cell& aCell, const StepSpec& aStep,
+                        const PlacementQuery& aQuery, TimePoint aNow) {
+  double capacity = 0.0;
+  double serving = 0.0;
+  for (const Runner& runner : aCell.m_runners) {
+    if (!IsUsable(runner, aQuery.m_service, aNow)) continue;
+    capacity +=
+        static_cast<double>(runner.m_entry.m_capacity.m_cores.Value());
+    serving += static_cast<double>(runner.m_servingCores.Value());
+  }
+  const double reserve =
+      std::clamp(aCell.m_shortPeak,
+                 capacity * aCell.m_settings.m_shortReserveLeast,
+                 capacity * aCell.m_settings.m_shortReserveMost);
+  return serving + static_cast<double>(aStep.m_need.m_cores.Value()) +
+             reserve <=
+         capacity;
+}
+
 StepResult PlaceStep(Cell& aCell, const QueueKey& aKey, TimePoint aNow) {
   Job& job = aCell.m_jobs.at(aKey.m_job);
   const StepSpec& step = job.m_spec.m_steps[aKey.m_step];
@@ -126,6 +147,9 @@
     const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task->m_phase != TaskPhase::Ready) continue;
+    if (step.m_longRunning && !LeavesShortReserve(aCell, step, query, aNow)) {
+      return any ? StepResult::SomeLeft : StepResult::NonePlaced;
+    }
     query.m_avoid = place.m_task->m_avoid;
     const RunnerIndex runner = ChooseRunner(aCell, query, aNow);
     if (!runner.IsValid()) {
@@ -142,9 +166,50 @@
 
 }  // namespace
 
+namespace {
+
+/** Cores that the step's waiting tasks ask for. */
+Millicores WaitingCores(const Job& aJob, const QueueKey& aKey) {
+  const StepSpec& step = aJob.m_spec.m_steps[aKey.m_step];
+  const Occurrence& occurrence = aJob.m_occurrences.at(aKey.m_occurrence);
+  const uint32_t first = aJob.m_stepOffset[aKey.m_step];
+  int64_t waiting = 0;
+  for (uint32_t index = 0; index < step.m_count; ++index) {
+    if (occurrence.m_tasks[first + index].m_phase == TaskPhase::Ready) {
+      ++waiting;
+    }
+  }
+  return Millicores(waiting * step.m_need.m_cores.Value());
+}
+
+/** Updates the fading peak of what short tasks hold and wait for. */
+void UpdateShortDemand(Cell& aCell, TimePoint aNow) {
+  aCell.m_shortDemand = Millicores();
+  for (const Runner& runner : aCell.m_runners) {
+    aCell.m_shortDemand += runner.m_reserved.m_cores - runner.m_servingCores;
+  }
+  for (const QueueKey& key : aCell.m_queue) {
+    const Job& job = aCell.m_jobs.at(key.m_job);
+    const StepSpec& step = job.m_spec.m_steps[key.m_step];
+    if (step.m_fills || step.m_longRunning) continue;
+    aCell.m_shortDemand += WaitingCores(job, key);
+  }
+  const double elapsed =
+      static_cast<double>((aNow - aCell.m_shortPeakAt).count());
+  const auto memory =
+      static_cast<double>(aCell.m_settings.m_shortDemandMemory.count());
+  aCell.m_shortPeak =
+      std::max(aCell.m_shortPeak * std::exp2(-elapsed / memory),
+               static_cast<double>(aCell.m_shortDemand.Value()));
+  aCell.m_shortPeakAt = aNow;
+}
+
+}  // namespace
+
 void PlaceTasks(Cell& aCell, TimePoint aNow) {
   if (!aCell.m_capacityChanged) return;
   aCell.m_capacityChanged = false;
+  UpdateShortDemand(aCell, aNow);
   uint32_t misses = 0;
   for (auto at = aCell.m_queue.begin();
        at != aCell.m_queue.end() && misses < aCell.m_settings.m_maxMisses;) {
