--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -46,6 +46,7 @@
    *  and at most; between the two the recent demand decides. */
   double m_shortReserveLeast = 0.05;
   double m_shortReserveMost = 0.15;
+
   Duration m_shortDemandMemory = seconds(15);  ///< Time in which a peak halves.
   /** Tail over target, as predicted, up to which tasks that fill are placed
    *  beside a serving task. */
--- a/src/core/sched/harm_func.cpp
+++ b/src/core/sched/harm_func.cpp
@@ -34,8 +34,7 @@
 }
 
 double& Weight(HarmTable& aTable, ImageIndex aFill, ImageIndex aServing) {
-  return aTable
-      .m_weights[aFill.Value() * aTable.m_stride + aServing.Value()];
+  return aTable.m_weights[aFill.Value() * aTable.m_stride + aServing.Value()];
 }
 
 }  // namespace
@@ -52,8 +51,7 @@
 }
 
 double Harm(const HarmTable& aTable, ImageIndex aFill, ImageIndex aServing) {
-  return aTable
-      .m_weights[aFill.Value() * aTable.m_stride + aServing.Value()];
+  return aTable.m_weights[aFill.Value() * aTable.m_stride + aServing.Value()];
 }
 
 double LogFactor(const HarmTable& aTable, const std::vector<UsedShare>& aUsed,
--- a/src/core/sched/harm_func.h
+++ b/src/core/sched/harm_func.h
@@ -15,8 +15,6 @@
 [[nodiscard]] double Harm(const HarmTable& aTable, ImageIndex aFill,
                           ImageIndex aServing);
 
-
-
 /** @return the sum of harm times share: the log of the factor on the tail. */
 [[nodiscard]] double LogFactor(const HarmTable& aTable,
                                const std::vector<UsedShare>& aUsed,
--- a/src/core/sched/harm_type.h
+++ b/src/core/sched/harm_type.h
@@ -25,14 +25,14 @@
  */
 struct HarmTable {
   std::map<std::string, ImageIndex> m_images;
-  size_t m_stride = 0;          ///< Images that a row has space for.
+  size_t m_stride = 0;            ///< Images that a row has space for.
   std::vector<double> m_weights;  ///< [fill * m_stride + serving], at least 0.
 };
 
 /** A serving task as placement and pacing see it. */
 struct ServingView {
   ImageIndex m_image;
-  double m_logBase = 0.0;  ///< log(baseline / target), without any fill.
+  double m_logBase = 0.0;   ///< log(baseline / target), without any fill.
   double m_pressure = 0.0;  ///< Last tail over target.
 };
 
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -46,7 +46,7 @@
   std::string m_requiredLabel;    ///< Empty: none.
   std::string m_affinityRack;     ///< Where the data is; empty: anywhere.
   std::string m_image;
-  ImageIndex m_imageIndex;    ///< Of the owner's table; not stored.
+  ImageIndex m_imageIndex;      ///< Of the owner's table; not stored.
   uint32_t m_antiAffinity = 0;  ///< Most tasks on one runner; 0: no limit.
   uint32_t m_mayMiss = 0;       ///< Tasks that may be away by our own doing.
   Duration m_tailTarget{};      ///< Of a task that serves; zero: none.
@@ -109,7 +109,7 @@
   TimePoint m_progressAt;    ///< When m_percent last rose.
   int m_pace = 100;          ///< Share last ordered, percent.
   int64_t m_measure = 0;     ///< Tail in ms, or cores in use in thousandths.
-  double m_baseline = 0.0;  ///< Tail in ms without fills; 0: not known.
+  double m_baseline = 0.0;   ///< Tail in ms without fills; 0: not known.
   RunnerIndex m_avoid;       ///< Where the last run failed; not tried next.
 };
 
--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -23,7 +23,8 @@
 constexpr double kDisturbedWeight = 0.1;
 /** A tail counts as undisturbed below this log of the fills' factor. */
 constexpr double kUndisturbed = 0.05;
-/** A fill is moved when its part in a tail that is too long exceeds this log. */
+/** A fill is moved when its part in a tail that is too long exceeds this log.
+ */
 constexpr double kBlame = 0.08;
 /** A tail over its target for this long stops all fills beside it. The bound of
  *  the rules is several seconds; a tail shows a change after half a second. */
@@ -40,8 +41,7 @@
 
 double CapacityOf(const Runner& aRunner) {
   return std::max<double>(
-      1.0,
-      static_cast<double>(aRunner.m_entry.m_capacity.m_cores.Value()));
+      1.0, static_cast<double>(aRunner.m_entry.m_capacity.m_cores.Value()));
 }
 
 void RaiseShare(std::vector<UsedShare>& aShares, ImageIndex aImage,
@@ -125,8 +125,7 @@
                           place.m_task->m_measure > 0 && target > 0.0;
     if (measured) {
       if (learns) LearnFromTail(aCell, place, aRunner.m_used);
-      view.m_pressure =
-          static_cast<double>(place.m_task->m_measure) / target;
+      view.m_pressure = static_cast<double>(place.m_task->m_measure) / target;
       if (place.m_task->m_baseline > 0.0) {
         view.m_logBase = std::log(place.m_task->m_baseline / target);
       }
@@ -149,8 +148,7 @@
   for (const ServingView& serving : aRunner.m_serving) {
     if (serving.m_pressure < aCell.m_settings.m_moveAbove) continue;
     blame = std::max(
-        blame,
-        share * Harm(aCell.m_harm, aStep.m_imageIndex, serving.m_image));
+        blame, share * Harm(aCell.m_harm, aStep.m_imageIndex, serving.m_image));
   }
   return blame;
 }
@@ -188,12 +186,11 @@
     if (!IsRunningFill(place)) continue;
     const double blame = Blame(aCell, runner, *place.m_step);
     if (blame > kBlame || overFor > kMoveAllAfter) {
-      LogDecision(aCell,
-                  fmt::format("move task={} runner={} pressure={:.2f} "
-                              "blame={:.2f} over_ms={}",
-                              TaskText(key), runner.m_entry.m_id.Value(),
-                              runner.m_pressure, blame,
-                              overFor.count() / 1000));
+      LogDecision(
+          aCell, fmt::format("move task={} runner={} pressure={:.2f} "
+                             "blame={:.2f} over_ms={}",
+                             TaskText(key), runner.m_entry.m_id.Value(),
+                             runner.m_pressure, blame, overFor.count() / 1000));
       MoveFill(aCell, aIndex, key, place, aNow);
       continue;
     }
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -67,11 +67,11 @@
 /** Share of the serving tasks there that run the step's image. */
 double SameImageShare(const Runner& aRunner, const StepSpec& aStep) {
   if (aRunner.m_serving.empty()) return 0.0;
-  const auto same = std::count_if(
-      aRunner.m_serving.begin(), aRunner.m_serving.end(),
-      [&](const ServingView& aView) {
-        return aView.m_image == aStep.m_imageIndex;
-      });
+  const auto same =
+      std::count_if(aRunner.m_serving.begin(), aRunner.m_serving.end(),
+                    [&](const ServingView& aView) {
+                      return aView.m_image == aStep.m_imageIndex;
+                    });
   return static_cast<double>(same) /
          static_cast<double>(aRunner.m_serving.size());
 }
@@ -90,8 +90,7 @@
            kSameImageWeight * SameImageShare(aRunner, aStep) - slowness;
   }
   const double free = capacity - UsedCores(aSettings, aRunner) -
-                      Cores(aRunner.m_fillDemand) -
-                      Cores(aStep.m_need.m_cores);
+                      Cores(aRunner.m_fillDemand) - Cores(aStep.m_need.m_cores);
   return free / capacity - slowness;
 }
 
@@ -159,8 +158,7 @@
         aQuery.m_sameStep(index) >= step.m_antiAffinity) {
       continue;
     }
-    double score =
-        Score(aCell.m_settings, runner, step) - kHarmWeight * harm;
+    double score = Score(aCell.m_settings, runner, step) - kHarmWeight * harm;
     if (!aQuery.m_rack.empty() && runner.m_rack == aQuery.m_rack) {
       score += kRackBonus;
     }
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -104,10 +104,10 @@
   uint32_t m_quarantineCount = 0;
   TimePoint m_quarantinedUntil;  ///< Nothing is placed there before.
   double m_slowness = 1.0;       ///< Run time over estimate, against the mean.
-  std::vector<FillLoad> m_fillLoads;    ///< Sums to m_fillDemand.
-  std::vector<UsedShare> m_used;  ///< Cores that fills used of late.
-  TimePoint m_usedAt;             ///< Of the last learning step.
-  std::vector<ServingView> m_serving;   ///< By the last report.
+  std::vector<FillLoad> m_fillLoads;   ///< Sums to m_fillDemand.
+  std::vector<UsedShare> m_used;       ///< Cores that fills used of late.
+  TimePoint m_usedAt;                  ///< Of the last learning step.
+  std::vector<ServingView> m_serving;  ///< By the last report.
   double m_pressure = 0.0;  ///< Highest tail over target, last report.
   TimePoint m_overSince;    ///< Start of the present time over a target.
   bool m_over = false;      ///< A tail is over its target.
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -116,21 +116,21 @@
   return {};
 }
 
-/** Whether short tasks keep their reserve if one more task lasts. */
+/** Whether short tasks keep their reserve if one more task lasts. It holds back
+ *  only jobs that have not begun: a task that lasts and has lost its run is
+ * owed a new one wherever there is room. */
 bool LeavesShortReserve(const Cell& aCell, const StepSpec& aStep,
                         const PlacementQuery& aQuery, TimePoint aNow) {
   double capacity = 0.0;
   double serving = 0.0;
   for (const Runner& runner : aCell.m_runners) {
     if (!IsUsable(runner, aQuery.m_service, aNow)) continue;
-    capacity +=
-        static_cast<double>(runner.m_entry.m_capacity.m_cores.Value());
+    capacity += static_cast<double>(runner.m_entry.m_capacity.m_cores.Value());
     serving += static_cast<double>(runner.m_servingCores.Value());
   }
-  const double reserve =
-      std::clamp(aCell.m_shortPeak,
-                 capacity * aCell.m_settings.m_shortReserveLeast,
-                 capacity * aCell.m_settings.m_shortReserveMost);
+  const double reserve = std::clamp(
+      aCell.m_shortPeak, capacity * aCell.m_settings.m_shortReserveLeast,
+      capacity * aCell.m_settings.m_shortReserveMost);
   return serving + static_cast<double>(aStep.m_need.m_cores.Value()) +
              reserve <=
          capacity;
@@ -147,7 +147,8 @@
     const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task->m_phase != TaskPhase::Ready) continue;
-    if (step.m_longRunning && !LeavesShortReserve(aCell, step, query, aNow)) {
+    if (step.m_longRunning && !job.m_anyStarted &&
+        !LeavesShortReserve(aCell, step, query, aNow)) {
       return any ? StepResult::SomeLeft : StepResult::NonePlaced;
     }
     query.m_avoid = place.m_task->m_avoid;
