--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -48,11 +48,11 @@
   double m_shortReserveMost = 0.15;
 
   Duration m_shortDemandMemory = seconds(15);  ///< Time in which a peak halves.
-  /** Tail over target, as predicted, up to which tasks that fill are placed
-   *  beside a serving task. */
-  double m_placeBelow = 0.75;
-  /** Tail over target, as measured, from which fills that harm are moved. */
-  double m_moveAbove = 0.9;
+  /** Load kept free below the limit of a serving task when a fill is placed
+   *  beside it, since its own load swings. */
+  double m_placeMargin = 0.10;
+  /** The same when the fills that run beside it are paced. */
+  double m_paceMargin = 0.04;
   /** Steps of the queue looked at in one pass without finding a place. */
   uint32_t m_maxMisses = 48;
   uint32_t m_maxOpenJobs = 20000;  ///< More are refused.
--- a/src/core/sched/harm_func.cpp
+++ b/src/core/sched/harm_func.cpp
@@ -5,36 +5,37 @@
 #include "core/sched/harm_func.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace bronze::sched {
 
 namespace {
 
-/** Share of a prediction's error that one measurement corrects. Half a second
- *  lies between measurements, and tails are rough. */
-constexpr double kLearningRate = 0.35;
-/** Bounds the correction when the shares are tiny. */
-constexpr double kShareFloor = 0.004;
-/** log(tail / baseline) above this says no more than "much too high". */
-constexpr double kMaxLogRatio = 3.0;
-constexpr double kMaxWeight = 60.0;
+/** A load above this says no more than "much too high". */
+constexpr double kMaxLoad = 0.97;
+/** Evidence against harm that each pair starts with: most pairs do none. It
+ *  equals two changes of a tenth of the cores. */
+constexpr double kPrior = 0.02;
+/** Evidence that is kept; older changes fade beyond it, as harm may change. */
+constexpr double kMaxEvidence = 0.5;
+/** Weights below this are noise of the measurements. */
+constexpr double kNoise = 0.35;
 
 void Grow(HarmTable& aTable, size_t aImages) {
   const size_t stride = std::max<size_t>(8, aImages * 2);
-  std::vector<double> weights(stride * stride, 0.0);
+  std::vector<HarmPair> pairs(stride * stride);
   for (size_t fill = 0; fill < aTable.m_stride; ++fill) {
     for (size_t serving = 0; serving < aTable.m_stride; ++serving) {
-      weights[fill * stride + serving] =
-          aTable.m_weights[fill * aTable.m_stride + serving];
+      pairs[fill * stride + serving] =
+          aTable.m_pairs[fill * aTable.m_stride + serving];
     }
   }
-  aTable.m_weights = std::move(weights);
+  aTable.m_pairs = std::move(pairs);
+  aTable.m_floor.resize(stride, 0.0);
   aTable.m_stride = stride;
 }
 
-double& Weight(HarmTable& aTable, ImageIndex aFill, ImageIndex aServing) {
-  return aTable.m_weights[aFill.Value() * aTable.m_stride + aServing.Value()];
+HarmPair& Pair(HarmTable& aTable, ImageIndex aFill, ImageIndex aServing) {
+  return aTable.m_pairs[aFill.Value() * aTable.m_stride + aServing.Value()];
 }
 
 }  // namespace
@@ -50,11 +51,33 @@
   return index;
 }
 
+namespace {
+
+double Weight(const HarmPair& aPair) {
+  return aPair.m_cross / (aPair.m_square + kPrior);
+}
+
+}  // namespace
+
 double Harm(const HarmTable& aTable, ImageIndex aFill, ImageIndex aServing) {
-  return aTable.m_weights[aFill.Value() * aTable.m_stride + aServing.Value()];
+  const double weight = Weight(
+      aTable.m_pairs[aFill.Value() * aTable.m_stride + aServing.Value()]);
+  return weight < kNoise ? 0.0 : weight;
 }
 
-double LogFactor(const HarmTable& aTable, const std::vector<UsedShare>& aUsed,
+void NoteTail(HarmTable& aTable, ImageIndex aServing, double aTailMs) {
+  double& lowest = aTable.m_floor[aServing.Value()];
+  if (lowest <= 0.0 || aTailMs < lowest) lowest = aTailMs;
+}
+
+double LoadOfTail(const HarmTable& aTable, ImageIndex aServing,
+                  double aTailMs) {
+  const double lowest = aTable.m_floor[aServing.Value()];
+  if (lowest <= 0.0 || aTailMs <= lowest) return 0.0;
+  return std::min(kMaxLoad, 1.0 - lowest / aTailMs);
+}
+
+double AddedLoad(const HarmTable& aTable, const std::vector<UsedShare>& aUsed,
                  ImageIndex aServing) {
   double sum = 0.0;
   for (const UsedShare& used : aUsed) {
@@ -63,17 +86,24 @@
   return sum;
 }
 
-void LearnHarm(HarmTable& aTable, const std::vector<UsedShare>& aUsed,
-               ImageIndex aServing, double aLogRatio) {
-  double squares = 0.0;
-  for (const UsedShare& used : aUsed) squares += used.m_share * used.m_share;
-  if (squares <= 0.0) return;
-  const double measured = std::clamp(aLogRatio, -kMaxLogRatio, kMaxLogRatio);
-  const double error = measured - LogFactor(aTable, aUsed, aServing);
-  for (const UsedShare& used : aUsed) {
-    double& weight = Weight(aTable, used.m_image, aServing);
-    weight += kLearningRate * error * used.m_share / (squares + kShareFloor);
-    weight = std::clamp(weight, 0.0, kMaxWeight);
+void LearnHarm(HarmTable& aTable, const std::vector<UsedShare>& aChanges,
+               ImageIndex aServing, double aLoadChange) {
+  double predicted = 0.0;
+  for (const UsedShare& change : aChanges) {
+    predicted +=
+        Weight(Pair(aTable, change.m_image, aServing)) * change.m_share;
+  }
+  const double error = aLoadChange - predicted;
+  for (const UsedShare& change : aChanges) {
+    HarmPair& pair = Pair(aTable, change.m_image, aServing);
+    // What the other images do not explain is this one's.
+    const double part = error + Weight(pair) * change.m_share;
+    pair.m_cross += change.m_share * part;
+    pair.m_square += change.m_share * change.m_share;
+    if (pair.m_square <= kMaxEvidence) continue;
+    const double fade = kMaxEvidence / pair.m_square;
+    pair.m_cross *= fade;
+    pair.m_square *= fade;
   }
 }
 
--- a/src/core/sched/harm_func.h
+++ b/src/core/sched/harm_func.h
@@ -12,20 +12,28 @@
 /** @return the index of the image, entered if it is new. */
 ImageIndex ImageByName(HarmTable& aTable, const std::string& aName);
 
+/** @return the load that a share of 1 of the fill adds to the serving task. */
 [[nodiscard]] double Harm(const HarmTable& aTable, ImageIndex aFill,
                           ImageIndex aServing);
 
-/** @return the sum of harm times share: the log of the factor on the tail. */
-[[nodiscard]] double LogFactor(const HarmTable& aTable,
+/** Lowers the image's floor to the tail if it is lower. */
+void NoteTail(HarmTable& aTable, ImageIndex aServing, double aTailMs);
+
+/** @return the load that the tail shows, in [0, 1). */
+[[nodiscard]] double LoadOfTail(const HarmTable& aTable, ImageIndex aServing,
+                                double aTailMs);
+
+/** @return the load that the fills add, by the table. */
+[[nodiscard]] double AddedLoad(const HarmTable& aTable,
                                const std::vector<UsedShare>& aUsed,
                                ImageIndex aServing);
 
 /**
- * Corrects the pairs' weights by one measurement of a serving task.
- * @param aLogRatio log(tail / baseline) as measured.
+ * Takes in how a serving task's load changed between two measurements. Changes
+ * are used, since the task's own load is not known and moves slowly.
  */
-void LearnHarm(HarmTable& aTable, const std::vector<UsedShare>& aUsed,
-               ImageIndex aServing, double aLogRatio);
+void LearnHarm(HarmTable& aTable, const std::vector<UsedShare>& aChanges,
+               ImageIndex aServing, double aLoadChange);
 
 }  // namespace bronze::sched
 
--- a/src/core/sched/harm_type.h
+++ b/src/core/sched/harm_type.h
@@ -1,6 +1,12 @@
 /**
  * @file harm_type.h How much tasks that fill lengthen the tails of tasks that
  * serve, learned for each pair of images.
+ *
+ * The model: a serving task's tail is floor / (1 - load), as in a queue. The
+ * load is the task's own, which swings, plus, for each image that fills beside
+ * it, the pair's weight times the share of the runner's cores that the image
+ * uses. Trials on recorded days showed the same added load on tasks with
+ * different loads of their own, while the factor on the tail differed.
  */
 
 #ifndef BRONZE_CORE_SCHED_HARM_TYPE_H_
@@ -18,25 +24,28 @@
 /** Index of an image within one cell. */
 using ImageIndex = NumberId<struct ImageIndexTag, uint32_t>;
 
-/**
- * The model: log(tail / baseline) of a serving task is the sum, over the images
- * that fill beside it, of the pair's weight times the share of the runner's
- * cores that the image uses.
- */
+/** Sums of a regression through zero of changes of load on changes of share. */
+struct HarmPair {
+  double m_cross = 0.0;   ///< Of share change times load change.
+  double m_square = 0.0;  ///< Of share change squared.
+};
+
 struct HarmTable {
   std::map<std::string, ImageIndex> m_images;
   size_t m_stride = 0;            ///< Images that a row has space for.
-  std::vector<double> m_weights;  ///< [fill * m_stride + serving], at least 0.
+  std::vector<HarmPair> m_pairs;  ///< [fill * m_stride + serving].
+  std::vector<double> m_floor;    ///< Per image: lowest tail in ms; 0: none.
 };
 
 /** A serving task as placement and pacing see it. */
 struct ServingView {
   ImageIndex m_image;
-  double m_logBase = 0.0;   ///< log(baseline / target), without any fill.
-  double m_pressure = 0.0;  ///< Last tail over target.
+  double m_ownLoad = 0.0;    ///< Without any fill.
+  double m_limitLoad = 1.0;  ///< Load at which the tail reaches the target.
+  double m_pressure = 0.0;   ///< Last tail over target.
 };
 
-/** Share of a runner's cores that one image used in measurements. */
+/** Share of a runner's cores that one image used, or a change of it. */
 struct UsedShare {
   ImageIndex m_image;
   double m_share = 0.0;
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -109,8 +109,10 @@
   TimePoint m_progressAt;    ///< When m_percent last rose.
   int m_pace = 100;          ///< Share last ordered, percent.
   int64_t m_measure = 0;     ///< Tail in ms, or cores in use in thousandths.
-  double m_baseline = 0.0;   ///< Tail in ms without fills; 0: not known.
-  RunnerIndex m_avoid;       ///< Where the last run failed; not tried next.
+  double m_ownLoad =
+      -1.0;              ///< Of a serving task, without fills; -1: not known.
+  double m_load = -1.0;  ///< As last measured, with fills; -1: never.
+  RunnerIndex m_avoid;   ///< Where the last run failed; not tried next.
 };
 
 /** One pass over all steps of a job. */
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -5,7 +5,6 @@
 #include "core/sched/placement_func.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "core/sched/harm_func.h"
 
@@ -18,10 +17,10 @@
 /** A runner to avoid is taken only when no other has room. */
 constexpr double kAvoidPenalty = 8.0;
 constexpr double kSlownessWeight = 0.5;
-/** Weight of a fill's predicted effect on tails, as a log of their factor. */
+/** Weight of the load that a fill is predicted to add to serving tasks. */
 constexpr double kHarmWeight = 1.0;
 /** A pair with less effect than this does no harm: measurements are rough. */
-constexpr double kHarmless = 0.04;
+constexpr double kHarmless = 0.02;
 /** Tasks that last are packed, those of one image together, so that some
  *  runners stay free of images that a given fill harms. */
 constexpr double kPackWeight = 1.0;
@@ -99,21 +98,18 @@
   FillEffect effect;
   const double capacity =
       std::max(1.0, Cores(aRunner.m_entry.m_capacity.m_cores));
+  const double share = Cores(aStep.m_need.m_cores) / capacity;
   for (const ServingView& serving : aRunner.m_serving) {
-    double present = serving.m_logBase;
-    for (const FillLoad& load : aRunner.m_fillLoads) {
-      if (load.m_millicores <= 0) continue;
-      present += Harm(aCell.m_harm, load.m_image, serving.m_image) *
-                 static_cast<double>(load.m_millicores) / capacity;
-    }
     const double added =
-        Harm(aCell.m_harm, aStep.m_imageIndex, serving.m_image) *
-        Cores(aStep.m_need.m_cores) / capacity;
+        Harm(aCell.m_harm, aStep.m_imageIndex, serving.m_image) * share;
     effect.m_added = std::max(effect.m_added, added);
-    if (added > kHarmless) {
-      effect.m_pressure =
-          std::max(effect.m_pressure, std::exp(present + added));
+    if (added < kHarmless) continue;
+    double load = serving.m_ownLoad + added;
+    for (const FillLoad& present : aRunner.m_fillLoads) {
+      load += Harm(aCell.m_harm, present.m_image, serving.m_image) *
+              static_cast<double>(present.m_millicores) / capacity;
     }
+    effect.m_headroom = std::min(effect.m_headroom, serving.m_limitLoad - load);
   }
   return effect;
 }
@@ -146,7 +142,7 @@
     if (step.m_fills) {
       if (!HasUnusedCores(aCell.m_settings, runner, step)) continue;
       const FillEffect effect = PredictFill(aCell, runner, step);
-      if (effect.m_pressure > aCell.m_settings.m_placeBelow) continue;
+      if (effect.m_headroom < aCell.m_settings.m_placeMargin) continue;
       harm = effect.m_added;
     }
     if (!step.m_requiredLabel.empty() &&
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -25,8 +25,8 @@
 
 /** What a task that fills would do to the serving tasks of a runner. */
 struct FillEffect {
-  double m_added = 0.0;     ///< Largest log of the factor on a tail.
-  double m_pressure = 0.0;  ///< Highest tail over target among those harmed.
+  double m_added = 0.0;     ///< Largest load added to one of them.
+  double m_headroom = 1.0;  ///< Least load left below a limit, if harmed.
 };
 
 [[nodiscard]] FillEffect PredictFill(const Cell& aCell, const Runner& aRunner,
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -77,7 +77,8 @@
   aTask.m_runner = RunnerIndex();
   aTask.m_pace = 100;
   aTask.m_measure = 0;
-  aTask.m_baseline = 0.0;
+  aTask.m_ownLoad = -1.0;
+  aTask.m_load = -1.0;
   aCell.m_capacityChanged = true;
   if (aStep.m_fills) {
     runner.m_fillMemory -= aStep.m_need.m_memory;
