sched: use runners again after a quarantine and after a cut; say why tasks wait

(1) After a quarantine a runner took one task as a probe only when it was empty, and tasks that last never leave it. (2) A runner that fell silent while cut off and had lost its work by the lapse of its lease was never asked again, and without an answer it got no work. Ruled out: the order of the queue, anti-affinity and memory (the new line 'waits task=... full= unusable=' shows 14 of 48 runners unusable until the end). Now one task probes a runner for a time, whatever else runs there, and a silent one is asked each 0.8 s. Two tests failed first.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -128,6 +128,7 @@
   TimePoint m_shortPeakAt;   ///< When m_shortPeak was updated.
   HarmTable m_harm;
   bool m_capacityChanged = true;  ///< A pass over the queue may find a place.
+  TimePoint m_waitLoggedAt;       ///< Of the last line on a step that waits.
   CellCounts m_counts;
 };
 
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -101,7 +101,7 @@
   RunNumber m_run;            ///< Highest run given out; 0: none.
   uint64_t m_failedRuns = 0;  ///< Bit n: run n + 1 has ended as failed. A run
                               ///< may be listed again to a later owner.
-  RunnerIndex m_runner;          ///< Valid from Intended to Stopping.
+  RunnerIndex m_runner;       ///< Valid from Intended to Stopping.
   uint64_t m_intentVersion = 0;  ///< Job version that holds the intent.
   TimePoint m_phaseSince;
   TimePoint m_stopOrderedAt;  ///< Of the last stop order.
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -127,34 +127,66 @@
 
 }  // namespace
 
+namespace {
+
+/** After a quarantine, one task probes the runner for a while; what ran there
+ *  before says nothing, as tasks that last never end by themselves. */
+bool IsProbed(const CellSettings& aSettings, const Runner& aRunner,
+              TimePoint aNow) {
+  return aRunner.m_quarantineCount > 0 &&
+         aNow < aRunner.m_quarantinedUntil + aSettings.m_quarantine &&
+         aRunner.m_lastPlacedAt >= aRunner.m_quarantinedUntil;
+}
+
+}  // namespace
+
+namespace {
+
+/** @return the count of the first reason against the runner; null: none. */
+uint32_t* ReasonAgainst(const Cell& aCell, const PlacementQuery& aQuery,
+                        RunnerIndex aIndex, TimePoint aNow,
+                        PlacementTally& aTally, double& aHarm) {
+  const StepSpec& step = *aQuery.m_step;
+  const Runner& runner = aCell.m_runners[aIndex.Value()];
+  if (!IsUsable(runner, aQuery.m_service, aNow)) return &aTally.m_unusable;
+  if (IsProbed(aCell.m_settings, runner, aNow)) return &aTally.m_probed;
+  if (!HasRoom(runner, step)) return &aTally.m_full;
+  if (!step.m_requiredLabel.empty() &&
+      !HasLabel(runner, step.m_requiredLabel)) {
+    return &aTally.m_unfit;
+  }
+  if (step.m_antiAffinity > 0 &&
+      aQuery.m_sameStep(aIndex) >= step.m_antiAffinity) {
+    return &aTally.m_unfit;
+  }
+  if (!step.m_fills) return nullptr;
+  if (!HasUnusedCores(aCell.m_settings, runner, step)) return &aTally.m_busy;
+  const FillEffect effect = PredictFill(aCell, runner, step);
+  if (effect.m_headroom < aCell.m_settings.m_placeMargin) {
+    return &aTally.m_harmed;
+  }
+  aHarm = effect.m_added;
+  return nullptr;
+}
+
+}  // namespace
+
 RunnerIndex ChooseRunner(const Cell& aCell, const PlacementQuery& aQuery,
                          TimePoint aNow) {
-  const StepSpec& step = *aQuery.m_step;
   RunnerIndex best;
   double bestScore = 0.0;
+  PlacementTally tally;
   for (uint32_t at = 0; at < aCell.m_runners.size(); ++at) {
-    const Runner& runner = aCell.m_runners[at];
-    if (!IsUsable(runner, aQuery.m_service, aNow)) continue;
-    // After a quarantine one task probes the runner.
-    if (runner.m_quarantineCount > 0 && !runner.m_tasks.empty()) continue;
-    if (!HasRoom(runner, step)) continue;
-    double harm = 0.0;
-    if (step.m_fills) {
-      if (!HasUnusedCores(aCell.m_settings, runner, step)) continue;
-      const FillEffect effect = PredictFill(aCell, runner, step);
-      if (effect.m_headroom < aCell.m_settings.m_placeMargin) continue;
-      harm = effect.m_added;
-    }
-    if (!step.m_requiredLabel.empty() &&
-        !HasLabel(runner, step.m_requiredLabel)) {
-      continue;
-    }
     const RunnerIndex index(at);
-    if (step.m_antiAffinity > 0 &&
-        aQuery.m_sameStep(index) >= step.m_antiAffinity) {
+    double harm = 0.0;
+    if (uint32_t* reason =
+            ReasonAgainst(aCell, aQuery, index, aNow, tally, harm)) {
+      ++*reason;
       continue;
     }
-    double score = Score(aCell.m_settings, runner, step) - kHarmWeight * harm;
+    const Runner& runner = aCell.m_runners[at];
+    double score =
+        Score(aCell.m_settings, runner, *aQuery.m_step) - kHarmWeight * harm;
     if (!aQuery.m_rack.empty() && runner.m_rack == aQuery.m_rack) {
       score += kRackBonus;
     }
@@ -164,6 +196,7 @@
       bestScore = score;
     }
   }
+  if (aQuery.m_tally != nullptr) *aQuery.m_tally = tally;
   return best;
 }
 
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -32,6 +32,16 @@
 [[nodiscard]] FillEffect PredictFill(const Cell& aCell, const Runner& aRunner,
                                      const StepSpec& aStep);
 
+/** Why runners were left out of one search; each counts at its first reason. */
+struct PlacementTally {
+  uint32_t m_unusable = 0;  ///< Not listed, draining, silent, in quarantine.
+  uint32_t m_probed = 0;    ///< On probation with one task.
+  uint32_t m_full = 0;      ///< No room for the declared need.
+  uint32_t m_busy = 0;      ///< No unused cores for a fill.
+  uint32_t m_harmed = 0;    ///< A serving task would exceed its target.
+  uint32_t m_unfit = 0;     ///< Label or anti-affinity.
+};
+
 /** What one search needs beside the runners. */
 struct PlacementQuery {
   const StepSpec* m_step = nullptr;
@@ -40,6 +50,7 @@
   std::string m_rack;   ///< Preferred rack; empty: any.
   /** Tasks of the same step on that runner, for anti-affinity. */
   std::function<uint32_t(RunnerIndex)> m_sameStep;
+  PlacementTally* m_tally = nullptr;  ///< Filled if it is set.
 };
 
 /** @return the best runner; invalid when none has room. */
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kLeaseMargin = milliseconds(300);
 /** Pause before an unanswered renewal is repeated. */
 constexpr Duration kHoldRetry = milliseconds(150);
+/** A silent runner without work is not urgent. */
+constexpr Duration kIdleRetry = milliseconds(800);
 /** A refused connection comes back at once; ask again at a slower pace. */
 constexpr Duration kRefusedRetry = milliseconds(400);
 /** Pause between renewals while ends wait for the store. */
@@ -142,7 +144,10 @@
       !runner.m_tasks.empty() || !runner.m_unstoredEnds.empty();
   // The first contact raises the fencing token there, so that orders of an
   // earlier owner that are still under way are refused.
-  if (runner.m_contacted && !hasWork) return {};
+  // A silent one is asked until it answers, since nothing is placed there
+  // before.
+  const bool silent = runner.m_missedHolds > 0 && runner.m_listed;
+  if (runner.m_contacted && !hasWork && !silent) return {};
   if (!runner.m_contacted && !runner.m_listed && !hasWork) return {};
   // Ends that are not durable yet would be listed again at once. While the
   // store is away the lease is renewed all the same, at a slower pace.
@@ -185,7 +190,10 @@
   runner.m_holdPending = false;
   ++runner.m_missedHolds;
   runner.m_refused = aOutcome == OrderOutcome::NotSent;
-  runner.m_nextHoldAt = aNow + (runner.m_refused ? kRefusedRetry : kHoldRetry);
+  const bool hasWork = !runner.m_tasks.empty();
+  runner.m_nextHoldAt = aNow + (!hasWork           ? kIdleRetry
+                                : runner.m_refused ? kRefusedRetry
+                                                   : kHoldRetry);
   if (aOutcome == OrderOutcome::WrongInstance) {
     ForgetLife(aCell, runner, aNow);
     runner.m_nextHoldAt = aNow + kRefusedRetry;
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -256,6 +256,7 @@
   Runner& runner = aCell.m_runners[aRunner.Value()];
   runner.m_holdPending = false;
   runner.m_nextHoldAt = aNow;
+  if (runner.m_missedHolds > 0) aCell.m_capacityChanged = true;
   runner.m_missedHolds = 0;
   runner.m_refused = false;
   if (aReport.m_born.Value() != 0) {
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -103,6 +103,7 @@
   uint32_t m_failuresInRow = 0;
   uint32_t m_quarantineCount = 0;
   TimePoint m_quarantinedUntil;  ///< Nothing is placed there before.
+  TimePoint m_lastPlacedAt;      ///< Of the newest intent.
   double m_slowness = 1.0;       ///< Run time over estimate, against the mean.
   std::vector<FillLoad> m_fillLoads;   ///< Sums to m_fillDemand.
   std::vector<UsedShare> m_used;       ///< Cores that fills used of late.
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -33,6 +33,7 @@
   Reserve(aCell, aKey, *aPlace.m_step, task, aRunner);
   task.m_phase = TaskPhase::Intended;
   task.m_phaseSince = aNow;
+  aCell.m_runners[aRunner.Value()].m_lastPlacedAt = aNow;
   task.m_run = aRun;
   task.m_percent = 0;
   task.m_stopAnswered = false;
@@ -136,12 +137,32 @@
          capacity;
 }
 
+/** Says why a task waits; one line a second, for the first in the queue. */
+void LogWait(Cell& aCell, const TaskKey& aKey, const Task& aTask,
+             const PlacementTally& aTally, TimePoint aNow) {
+  constexpr Duration kWorthALine = seconds(1);
+  constexpr Duration kBetweenLines = seconds(1);
+  if (aNow - aTask.m_phaseSince < kWorthALine) return;
+  if (aNow - aCell.m_waitLoggedAt < kBetweenLines) return;
+  aCell.m_waitLoggedAt = aNow;
+  LogDecision(
+      aCell,
+      fmt::format("waits task={} for_ms={} runners={} unusable={} probed={} "
+                  "full={} busy={} harmed={} unfit={}",
+                  TaskText(aKey), (aNow - aTask.m_phaseSince).count() / 1000,
+                  aCell.m_runners.size(), aTally.m_unusable, aTally.m_probed,
+                  aTally.m_full, aTally.m_busy, aTally.m_harmed,
+                  aTally.m_unfit));
+}
+
 StepResult PlaceStep(Cell& aCell, const QueueKey& aKey, TimePoint aNow) {
   Job& job = aCell.m_jobs.at(aKey.m_job);
   const StepSpec& step = job.m_spec.m_steps[aKey.m_step];
   if (step.m_gang) return PlaceGang(aCell, aKey, job, step, aNow);
   PlacementQuery query = QueryFor(aCell, aKey, job, step);
   if (step.m_sameRack) query.m_rack = RackOfStep(aCell, job, aKey);
+  PlacementTally tally;
+  query.m_tally = &tally;
   bool any = false;
   for (uint32_t index = 0; index < step.m_count; ++index) {
     const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
@@ -154,6 +175,7 @@
     query.m_avoid = place.m_task->m_avoid;
     const RunnerIndex runner = ChooseRunner(aCell, query, aNow);
     if (!runner.IsValid()) {
+      LogWait(aCell, key, *place.m_task, tally, aNow);
       return any ? StepResult::SomeLeft : StepResult::NonePlaced;
     }
     if (step.m_sameRack && query.m_rack.empty()) {
--- /dev/null
+++ b/src/standin/row_store.cpp
@@ -0,0 +1,362 @@
+/**
+ * @file row_store.cpp A stand-in of the platform's store of rows.
+ *
+ * It speaks the platform's published protocol and keeps everything in memory.
+ */
+
+#include "standin/row_store.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <nlohmann/json.hpp>
+
+namespace bronze::standin {
+
+namespace {
+
+using Json = nlohmann::json;
+namespace base64 = boost::beast::detail::base64;
+
+/** A wait for changes looks again after this. */
+constexpr Duration kLookPause = milliseconds(10);
+
+std::string Encode64(const std::string& aBytes) {
+  std::string text(base64::encoded_size(aBytes.size()), '\0');
+  text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
+  return text;
+}
+
+std::string Decode64(const std::string& aText) {
+  std::string bytes(base64::decoded_size(aText.size()), '\0');
+  bytes.resize(
+      base64::decode(bytes.data(), aText.data(), aText.size()).first);
+  return bytes;
+}
+
+std::string QueryValue(const std::string& aTarget, const std::string& aName) {
+  const size_t query = aTarget.find('?');
+  if (query == std::string::npos) return {};
+  const std::string text = "&" + aTarget.substr(query + 1);
+  const size_t at = text.find("&" + aName + "=");
+  if (at == std::string::npos) return {};
+  const size_t begin = at + aName.size() + 2;
+  return text.substr(begin, text.find('&', begin) - begin);
+}
+
+HttpReply JsonReply(int aStatus, const Json& aBody) {
+  HttpReply reply;
+  reply.m_status = aStatus;
+  reply.m_body = aBody.dump();
+  return reply;
+}
+
+Json RowJson(const std::tuple<std::string, std::string, std::string>& aKey,
+             const std::string& aValue, uint64_t aVersion, bool aDeleted) {
+  Json row = {{"table", std::get<0>(aKey)},
+              {"part", std::get<1>(aKey)},
+              {"key", std::get<2>(aKey)},
+              {"ver", aVersion}};
+  if (aDeleted) {
+    row["deleted"] = true;
+  } else {
+    row["value"] = Encode64(aValue);
+  }
+  return row;
+}
+
+std::tuple<std::string, std::string, std::string> KeyOf(const Json& aRow) {
+  return {aRow.at("table"), aRow.at("part"), aRow.at("key")};
+}
+
+}  // namespace
+
+RowStore::RowStore(ThreadPool& aThreads) : m_threads(aThreads) {
+  m_server = std::make_unique<HttpServer>(
+      aThreads, HttpLimits(), m_counters,
+      [this](size_t aThread, HttpCall aCall, auto aResponder) {
+        Handle(aThread, aCall, aResponder);
+      });
+}
+
+boost::asio::ip::tcp::endpoint RowStore::Listen() {
+  return m_server->Listen({boost::asio::ip::address_v4::loopback(), 0})
+      .value();
+}
+
+void RowStore::SetFaults(RowStoreFaults aFaults) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_faults = aFaults;
+}
+
+void RowStore::Put(const std::string& aTable, const std::string& aPart,
+                   const std::string& aKey, const std::string& aValue) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_rows[{aTable, aPart, aKey}] = {aValue, ++m_version, false};
+}
+
+void RowStore::Remove(const std::string& aTable, const std::string& aPart,
+                      const std::string& aKey) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_rows[{aTable, aPart, aKey}] = {"", ++m_version, true};
+}
+
+std::string RowStore::Value(const std::string& aTable, const std::string& aPart,
+                            const std::string& aKey) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_rows.find({aTable, aPart, aKey});
+  return found == m_rows.end() ? "" : found->second.m_value;
+}
+
+size_t RowStore::CountRows(const std::string& aTable) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  size_t count = 0;
+  for (const auto& [key, row] : m_rows) {
+    if (std::get<0>(key) == aTable && !row.m_deleted) ++count;
+  }
+  return count;
+}
+
+void RowStore::Handle(size_t aThread, const HttpCall& aCall,
+                      const std::shared_ptr<HttpResponder>& aResponder) {
+  bool refuses = false;
+  bool loses = false;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    refuses = m_faults.m_refuses;
+    loses = m_faults.m_losesAnswers;
+  }
+  if (refuses) {
+    aResponder->Reply(JsonReply(503, Json::object()));
+    return;
+  }
+  const std::string path = aCall.m_target.substr(0, aCall.m_target.find('?'));
+  if (path == "/bronzeworks/rows-tx") {
+    HttpReply reply = Transact(aCall);
+    if (loses) {
+      aResponder->Abort();
+    } else {
+      aResponder->Reply(std::move(reply));
+    }
+  } else if (path == "/bronzeworks/rows-get") {
+    aResponder->Reply(ReadRange(aCall));
+  } else if (path == "/bronzeworks/rows-feed") {
+    const int wait = std::stoi(QueryValue(aCall.m_target, "wait_ms"));
+    AwaitChanges(aThread, aCall, aResponder, wait / 10);
+  } else {
+    aResponder->Reply(JsonReply(404, Json::object()));
+  }
+}
+
+HttpReply RowStore::Transact(const HttpCall& aCall) {
+  const Json body = Json::parse(aCall.m_body);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  bool holds = true;
+  Json current = Json::array();
+  for (const Json& expected : body.at("expected")) {
+    const auto found = m_rows.find(KeyOf(expected));
+    const bool exists = found != m_rows.end() && !found->second.m_deleted;
+    const uint64_t version = exists ? found->second.m_version : 0;
+    holds = holds && version == expected.at("ver").get<uint64_t>();
+    if (exists) {
+      current.push_back(RowJson(found->first, found->second.m_value,
+                                found->second.m_version, false));
+    }
+  }
+  if (!holds) {
+    return JsonReply(
+        412, {{"rows", current}, {"ver", m_version}, {"now_ms", 0}});
+  }
+  ++m_version;
+  for (const Json& put : body.at("put")) {
+    m_rows[KeyOf(put)] = {Decode64(put.at("value")), m_version, false};
+  }
+  for (const Json& removed : body.at("remove")) {
+    m_rows[KeyOf(removed)] = {"", m_version, true};
+  }
+  return JsonReply(200, {{"ver", m_version}, {"now_ms", 0}});
+}
+
+HttpReply RowStore::ReadRange(const HttpCall& aCall) {
+  constexpr size_t kMostRows = 500;
+  const std::string table = QueryValue(aCall.m_target, "table");
+  const std::string part = QueryValue(aCall.m_target, "part");
+  std::string from = QueryValue(aCall.m_target, "from");
+  const size_t escape = from.find("%00");
+  if (escape != std::string::npos) from.replace(escape, 3, 1, '\0');
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Json rows = Json::array();
+  bool truncated = false;
+  for (auto at = m_rows.lower_bound({table, part, from}); at != m_rows.end();
+       ++at) {
+    if (std::get<0>(at->first) != table || std::get<1>(at->first) != part) {
+      break;
+    }
+    if (at->second.m_deleted) continue;
+    if (rows.size() == kMostRows) {
+      truncated = true;
+      break;
+    }
+    rows.push_back(RowJson(at->first, at->second.m_value,
+                           at->second.m_version, false));
+  }
+  return JsonReply(200, {{"rows", rows},
+                         {"truncated", truncated},
+                         {"ver", m_version},
+                         {"now_ms", 0}});
+}
+
+bool RowStore::ReadChanges(const HttpCall& aCall, HttpReply& aReply) {
+  const std::string table = QueryValue(aCall.m_target, "table");
+  const uint64_t after = std::stoull(QueryValue(aCall.m_target, "after"));
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  if (m_faults.m_forgets) {
+    m_faults.m_forgets = false;
+    aReply = JsonReply(410, Json::object());
+    return true;
+  }
+  Json rows = Json::array();
+  for (const auto& [key, row] : m_rows) {
+    if (std::get<0>(key) != table || row.m_version <= after) continue;
+    rows.push_back(RowJson(key, row.m_value, row.m_version, row.m_deleted));
+  }
+  aReply =
+      JsonReply(200, {{"rows", rows}, {"ver", m_version}, {"now_ms", 0}});
+  return !rows.empty();
+}
+
+void RowStore::AwaitChanges(size_t aThread, const HttpCall& aCall,
+                            const std::shared_ptr<HttpResponder>& aResponder,
+                            int aTriesLeft) {
+  HttpReply reply;
+  if (ReadChanges(aCall, reply) || aTriesLeft <= 0) {
+    aResponder->Reply(std::move(reply));
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      m_threads.Context(aThread), kLookPause);
+  timer->async_wait([this, timer, aThread, aCall, aResponder,
+                     aTriesLeft](boost::system::error_code aError) {
+    if (!aError) AwaitChanges(aThread, aCall, aResponder, aTriesLeft - 1);
+  });
+}
+
+FakeRunner::FakeRunner(ThreadPool& aThreads, Duration aTaskTime)
+    : m_threads(aThreads), m_taskTime(aTaskTime) {
+  m_server = std::make_unique<HttpServer>(
+      aThreads, HttpLimits(), m_counters,
+      [this](size_t, HttpCall aCall, auto aResponder) {
+        bool lose = false;
+        HttpReply reply = Handle(aCall, lose);
+        if (lose) {
+          aResponder->Abort();
+        } else {
+          aResponder->Reply(std::move(reply));
+        }
+      });
+}
+
+boost::asio::ip::tcp::endpoint FakeRunner::Listen() {
+  return m_server->Listen({boost::asio::ip::address_v4::loopback(), 0})
+      .value();
+}
+
+void FakeRunner::SetFaults(FakeRunnerFaults aFaults) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_faults = aFaults;
+}
+
+std::map<std::string, int> FakeRunner::Starts() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_starts;
+}
+
+int FakeRunner::WorstOverlap() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_worstOverlap;
+}
+
+uint64_t FakeRunner::Acknowledged() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_acknowledged;
+}
+
+int64_t FakeRunner::Clock() const {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+void FakeRunner::EndRun(const std::string& aTask, const std::string& aKind) {
+  const uint64_t run = m_running.at(aTask).m_number;
+  m_running.erase(aTask);
+  m_highestEnded[aTask] = std::max(m_highestEnded[aTask], run);
+  m_ends.push_back({++m_lastEnd, aTask, run, aKind});
+}
+
+void FakeRunner::Advance() {
+  const int64_t now = Clock();
+  const std::map<std::string, Run> running = m_running;
+  for (const auto& [task, run] : running) {
+    if (now >= run.m_endsAt) {
+      EndRun(task, m_faults.m_failsTasks ? "failed" : "done");
+    } else if (now > m_deadline) {
+      EndRun(task, "lapsed");
+    }
+  }
+}
+
+HttpReply FakeRunner::Handle(const HttpCall& aCall, bool& aLoseAnswer) {
+  const Json body = Json::parse(aCall.m_body);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Advance();
+  Json answer = {{"clock_ms", Clock()}, {"born", 1}};
+  const uint64_t fence = body.value("fence", uint64_t{0});
+  if (fence < m_fence) {
+    answer["reason"] = "fence";
+    return JsonReply(409, answer);
+  }
+  m_fence = fence;
+  m_deadline = std::max(m_deadline, body.value("deadline_ms", int64_t{0}));
+  if (aCall.m_target == "/bronzeworks/run-start") {
+    const std::string task = body.at("task");
+    const uint64_t run = body.at("run");
+    if (run <= m_highestEnded[task]) {
+      answer["reason"] = "old";
+      return JsonReply(409, answer);
+    }
+    ++m_starts[task];
+    const int before = m_running.count(task) > 0 ? 1 : 0;
+    m_worstOverlap = std::max(m_worstOverlap, before + 1);
+    m_running[task] = {
+        run, Clock() + std::chrono::duration_cast<milliseconds>(m_taskTime)
+                           .count()};
+    aLoseAnswer = m_faults.m_losesStartAnswers;
+    return JsonReply(200, answer);
+  }
+  if (aCall.m_target == "/bronzeworks/run-stop") {
+    const std::string task = body.at("task");
+    const uint64_t run = body.at("run");
+    const auto found = m_running.find(task);
+    if (found != m_running.end() && found->second.m_number <= run) {
+      EndRun(task, "stopped");
+    }
+    m_highestEnded[task] = std::max(m_highestEnded[task], run);
+    return JsonReply(200, answer);
+  }
+  const uint64_t seen = body.value("last_seen", uint64_t{0});
+  m_acknowledged = std::max(m_acknowledged, seen);
+  while (!m_ends.empty() && m_ends.front().m_number <= seen) {
+    m_ends.pop_front();
+  }
+  answer["running"] = Json::array();
+  for (const auto& [task, run] : m_running) {
+    answer["running"].push_back(Json::array({task, run.m_number, "", 50, 0}));
+  }
+  answer["finished"] = Json::array();
+  for (const End& end : m_ends) {
+    answer["finished"].push_back(
+        Json::array({end.m_number, end.m_task, end.m_run, end.m_kind, ""}));
+  }
+  return JsonReply(200, answer);
+}
+
+}  // namespace bronze::standin
--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -269,6 +269,57 @@
   BOOST_TEST((starts[0].m_runner == (used == first ? second : first)));
 }
 
+/** Guards against a runner that is never used again after a quarantine because
+ *  tasks that last are still there (found by kahurangi mix --seed
+ *  479839697604). */
+BOOST_AUTO_TEST_CASE(QuarantineEndsBesideTasksThatLast) {
+  const RunnerIndex runner = AddRunner("a");
+  m_cell.m_settings.m_quarantineShare = 1.0;
+  JobSpec lasting = Spec(1);
+  lasting.m_steps[0].m_longRunning = true;
+  Submit(std::move(lasting));
+  StartAll();
+  JobSpec failing = Spec(2, 3);
+  Submit(std::move(failing));
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 3U);
+  const RunningRow kept{{JobId(1), 0, 0, 0}, RunNumber(1), "", 100, 0};
+  std::vector<EndRow> ends;
+  for (uint32_t index = 0; index < 3; ++index) {
+    ends.push_back({EndNumber(index + 1), {JobId(2), 0, 0, index}, RunNumber(1),
+                    EndKind::Failed, ""});
+  }
+  Report(runner, {kept}, ends);
+  CommitAll();
+  BOOST_TEST(StartAll().empty());
+  Pass(seconds(5));
+  m_cell.m_capacityChanged = true;
+  BOOST_TEST(StartAll().size() == 1U);
+  Pass(seconds(10));
+  m_cell.m_capacityChanged = true;
+  BOOST_TEST(StartAll().size() == 2U);
+}
+
+/** Guards against a runner that is never used again after a cut: without work
+ *  it was not asked, and without an answer it got no work (found by kahurangi
+ *  mix --seed 479839697604). */
+BOOST_AUTO_TEST_CASE(RunnerIsUsedAgainAfterACut) {
+  const RunnerIndex runner = AddRunner("a");
+  Submit(Spec(1));
+  StartAll();
+  for (int step = 0; step < 40; ++step) {
+    if (NextHold(m_cell, runner, m_now)) {
+      ApplyHoldFailure(m_cell, runner, OrderOutcome::Unknown, m_now);
+    }
+    Pass(milliseconds(500));
+    AdvanceRunners(m_cell, m_now);
+  }
+  BOOST_TEST(StartAll().empty());
+  Pass(seconds(1));
+  BOOST_REQUIRE(NextHold(m_cell, runner, m_now).has_value());
+  Report(runner, {}, {});
+  BOOST_TEST(StartAll().size() == 1U);
+}
+
 /** Guards against losing a checkpoint when a task is moved or the owner ends.
  */
 BOOST_AUTO_TEST_CASE(CheckpointSurvivesTheOwner) {
