tests: entry nodes against a stand-in of the platform; acknowledge last ends

Cause, found by the new tests: (1) when a runner's last task had ended, nothing renewed its lease any more, so the end was never acknowledged there; (2) a session that outlived the first traffic thread destroyed the acceptor of a loop that was gone (address sanitizer: use after free in HttpServer, at shutdown with two or more traffic threads). Now a durable end is told to the runner once more, and the server gives its acceptor up before its threads go.

--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -81,6 +81,8 @@
   aRunner.m_lastDeadline = RunnerMillis();
   aRunner.m_readEnd = EndNumber();
   aRunner.m_storedEnd = EndNumber();
+  aRunner.m_toldEnd = EndNumber();
+  aRunner.m_askedEnd = EndNumber();
   aRunner.m_unstoredEnds.clear();
   aRunner.m_failuresInRow = 0;
   aRunner.m_quarantineCount = 0;
@@ -140,8 +142,9 @@
   Runner& runner = aCell.m_runners[aRunner.Value()];
   if (runner.m_holdPending || runner.m_entry.m_address.empty()) return {};
   if (aNow < runner.m_nextHoldAt) return {};
-  const bool hasWork =
-      !runner.m_tasks.empty() || !runner.m_unstoredEnds.empty();
+  const bool hasWork = !runner.m_tasks.empty() ||
+                       !runner.m_unstoredEnds.empty() ||
+                       runner.m_storedEnd > runner.m_toldEnd;
   // The first contact raises the fencing token there, so that orders of an
   // earlier owner that are still under way are refused.
   // A silent one is asked until it answers, since nothing is placed there
@@ -161,6 +164,7 @@
   order.m_id = runner.m_entry.m_id;
   order.m_fence = aCell.m_fence;
   order.m_lastSeen = runner.m_storedEnd;
+  runner.m_askedEnd = runner.m_storedEnd;
   if (runner.m_contacted) {
     // An unanswered renewal may be in force; repeating it with the same end
     // keeps the time at which everything there has surely ended from moving.
@@ -178,7 +182,10 @@
                  (place.m_task->m_phase == TaskPhase::Unsure ||
                   place.m_task->m_phase == TaskPhase::Recovering);
         });
-    if (unsure || runner.m_missedHolds > 0) order.m_wait = Duration::zero();
+    const bool idle = runner.m_tasks.empty();
+    if (unsure || idle || runner.m_missedHolds > 0) {
+      order.m_wait = Duration::zero();
+    }
   }
   runner.m_holdPending = true;
   return order;
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -267,6 +267,7 @@
     runner.m_entry.m_born = aReport.m_born;
   }
   const bool firstContact = !runner.m_contacted;
+  runner.m_toldEnd = std::max(runner.m_toldEnd, runner.m_askedEnd);
   runner.m_contacted = true;
   runner.m_clock = aReport.m_clock;
   runner.m_clockAt = aNow;
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -92,6 +92,8 @@
 
   EndNumber m_readEnd;    ///< Highest end that was processed.
   EndNumber m_storedEnd;  ///< Highest end that is durable.
+  EndNumber m_toldEnd;    ///< Highest end that an answered renewal named.
+  EndNumber m_askedEnd;   ///< The one that the renewal under way names.
   std::deque<UnstoredEnd> m_unstoredEnds;
 
   Resources m_reserved;          ///< By tasks that count against capacity.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -348,7 +348,12 @@
     : m_shared(std::make_shared<Shared>(aThreads, aLimits, aCounters,
                                         std::move(aHandler))) {}
 
-HttpServer::~HttpServer() { Drain(); }
+HttpServer::~HttpServer() {
+  Drain();
+  // A session may outlive the first thread's loop, to which the acceptor
+  // belongs; it must not be the one that destroys it.
+  m_shared->m_acceptor.reset();
+}
 
 Result<tcp::endpoint> HttpServer::Listen(const tcp::endpoint& aEndpoint) {
   auto acceptor =
--- a/src/standin/row_store.h
+++ b/src/standin/row_store.h
@@ -22,7 +22,8 @@
 /** What the store does to calls at present. */
 struct RowStoreFaults {
   bool m_refuses = false;       ///< Every call gets 503.
-  bool m_losesAnswers = false;  ///< Writes are done; their connection breaks.
+  bool m_losesAnswers = false;  ///< Each second write is done, its connection
+                                ///< breaks.
   bool m_forgets = false;       ///< Each wait for changes gets 410, once.
 };
 
@@ -78,6 +79,7 @@
   std::map<Key, Row> m_rows;
   uint64_t m_version = 0;
   RowStoreFaults m_faults;
+  uint64_t m_writes = 0;  ///< Calls that may write, for m_losesAnswers.
 };
 
 /** One runner: runs each task for a fixed time on its own clock. */
--- /dev/null
+++ b/tests/scheduler/node_fixture.h
@@ -0,0 +1,199 @@
+/**
+ * @file node_fixture.h Entry nodes with the stand-in of the platform, all in
+ * one process on loopback.
+ */
+
+#ifndef BRONZE_TESTS_SCHEDULER_NODE_FIXTURE_H_
+#define BRONZE_TESTS_SCHEDULER_NODE_FIXTURE_H_
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/address_func.h"
+#include "net/http_client.h"
+#include "scheduler/entry_node.h"
+#include "standin/row_store.h"
+
+namespace bronze {
+
+/** One entry node with its servers, on threads of its own. */
+class RunningNode {
+ public:
+  RunningNode(const std::string& aName,
+              const boost::asio::ip::tcp::endpoint& aStore)
+      : m_threads(1),
+        m_callers(m_threads, HttpLimits(), m_counters,
+                  [this](size_t, HttpCall aCall, auto aResponder) {
+                    m_node->HandleCaller(std::move(aCall),
+                                         std::move(aResponder));
+                  }),
+        m_peers(m_threads, HttpLimits(), m_counters,
+                [this](size_t, HttpCall aCall, auto aResponder) {
+                  m_node->HandlePeer(std::move(aCall), std::move(aResponder));
+                }) {
+    const boost::asio::ip::tcp::endpoint any(
+        boost::asio::ip::address_v4::loopback(), 0);
+    NodeConfig config;
+    config.m_vm = VmId(aName);
+    config.m_storeAddress = aStore;
+    config.m_grace = milliseconds(600);
+    config.m_maxLease = seconds(6);
+    config.m_stopTimeout = milliseconds(200);
+    config.m_statusRetention = seconds(60);
+    config.m_callerAddress = m_callers.Listen(any).value();
+    config.m_peerAddress = m_peers.Listen(any).value();
+    static std::atomic<uint64_t> sIncarnation = 0;
+    m_address = config.m_callerAddress;
+    m_node = std::make_unique<EntryNode>(config, ++sIncarnation);
+    m_thread = std::thread([this] { m_node->Run(); });
+  }
+  ~RunningNode() { Stop(); }
+  RunningNode(const RunningNode&) = delete;
+  RunningNode& operator=(const RunningNode&) = delete;
+
+  /** Ends as after SIGTERM: cells are handed over first. */
+  void Stop() {
+    if (!m_thread.joinable()) return;
+    m_node->PostDrain();
+    m_thread.join();
+    m_threads.Stop();
+  }
+
+  [[nodiscard]] const boost::asio::ip::tcp::endpoint& Address() const {
+    return m_address;
+  }
+
+ private:
+  Counters m_counters;
+  ThreadPool m_threads;
+  std::unique_ptr<EntryNode> m_node;
+  HttpServer m_callers;
+  HttpServer m_peers;
+  boost::asio::ip::tcp::endpoint m_address;
+  std::thread m_thread;
+};
+
+struct NodeFixture {
+  NodeFixture()
+      : m_platformThreads(2),
+        m_store(m_platformThreads),
+        m_client(m_platformThreads.Context(0), 2, size_t{1} << 20) {
+    m_storeAddress = m_store.Listen();
+    PutConfig(1, "queue");
+    AddRunner("r1", milliseconds(100));
+    AddRunner("r2", milliseconds(100));
+  }
+  ~NodeFixture() {
+    m_nodes.clear();
+    m_platformThreads.Stop();
+  }
+  NodeFixture(const NodeFixture&) = delete;
+  NodeFixture& operator=(const NodeFixture&) = delete;
+
+  void PutConfig(int aVersion, const std::string& aPath) {
+    m_store.Put(
+        "op", "", "config",
+        fmt::format(
+            R"({{"version":{},"routes":[{{"name":"{}","host":"h.example",)"
+            R"("path_prefix":"/{}/","service":"pool","priority":0,)"
+            R"("max_attempts":3,"stretch":1.5,"target_latency_ms":250}}],)"
+            R"("services":[{{"name":"pool","rejects_overload":true}}]}})",
+            aVersion, aPath, aPath));
+  }
+
+  void AddRunner(const std::string& aName, Duration aTaskTime) {
+    m_runners.push_back(
+        std::make_unique<standin::FakeRunner>(m_platformThreads, aTaskTime));
+    const std::string address = AddressText(m_runners.back()->Listen());
+    m_store.Put(
+        "servers", "", aName,
+        fmt::format(
+            R"({{"service":"pool","address":"{}","zone":"z","version":"v1",)"
+            R"("slots":8,"state":"ready","born":1,"capacity":{{"cpu":16000,)"
+            R"("mem_mb":32000}},"labels":["a","rack1"],"sequence":1}})",
+            address));
+  }
+
+  RunningNode& AddNode(const std::string& aName) {
+    m_nodes.push_back(std::make_unique<RunningNode>(aName, m_storeAddress));
+    return *m_nodes.back();
+  }
+
+  /** One call of a caller; status 0 when there is no answer. */
+  HttpReply Call(const RunningNode& aNode, const std::string& aMethod,
+                 const std::string& aPath, const std::string& aBody = "") {
+    HttpCall call;
+    call.m_method = aMethod;
+    call.m_target = aPath;
+    call.m_headers = {{"Host", "h.example"}, {"X-Deadline-Ms", "3000"}};
+    call.m_body = aBody;
+    auto reply = std::make_shared<std::promise<HttpReply>>();
+    boost::asio::post(
+        m_platformThreads.Context(0), [this, call, reply, &aNode] {
+          m_client.Call(aNode.Address(), call, seconds(5),
+                        [reply](CallOutcome aOutcome) {
+                          HttpReply result = std::move(aOutcome.m_reply);
+                          if (aOutcome.m_stage != CallStage::WholeAnswer) {
+                            result.m_status = 0;
+                          }
+                          reply->set_value(std::move(result));
+                        });
+        });
+    return reply->get_future().get();
+  }
+
+  HttpReply Submit(const RunningNode& aNode, const std::string& aId) {
+    return Call(aNode, "POST", "/queue/" + aId,
+                R"({"spec":"s","steps":[{"count":3,"cpu":1000,"mem_mb":10,)"
+                R"("estimate_ms":100},{"count":2,"cpu":1000,"mem_mb":10,)"
+                R"("estimate_ms":100,"after":[0]}]})");
+  }
+
+  /** Waits for a state; the limit only bounds a test that has failed. */
+  static bool Eventually(const std::function<bool()>& aHolds) {
+    const auto end = std::chrono::steady_clock::now() + seconds(40);
+    while (std::chrono::steady_clock::now() < end) {
+      if (aHolds()) return true;
+      std::this_thread::sleep_for(milliseconds(30));
+    }
+    return false;
+  }
+
+  bool SubmitUntilAccepted(const RunningNode& aNode, const std::string& aId) {
+    return Eventually([&] { return Submit(aNode, aId).m_status == 200; });
+  }
+
+  bool BecomesCompleted(const RunningNode& aNode, const std::string& aId) {
+    return Eventually([&] {
+      return Call(aNode, "GET", "/queue/" + aId).m_body.find("completed") !=
+             std::string::npos;
+    });
+  }
+
+  /** Starts over all runners, by the task's name. */
+  std::map<std::string, int> Starts() {
+    std::map<std::string, int> total;
+    for (const auto& runner : m_runners) {
+      for (const auto& [task, count] : runner->Starts()) total[task] += count;
+    }
+    return total;
+  }
+
+  ThreadPool m_platformThreads;
+  standin::RowStore m_store;
+  HttpClient m_client;
+  boost::asio::ip::tcp::endpoint m_storeAddress;
+  std::vector<std::unique_ptr<standin::FakeRunner>> m_runners;
+  std::vector<std::unique_ptr<RunningNode>> m_nodes;
+};
+
+}  // namespace bronze
+
+#endif  // BRONZE_TESTS_SCHEDULER_NODE_FIXTURE_H_
--- /dev/null
+++ b/tests/scheduler/platform_decode_test.cpp
@@ -0,0 +1,190 @@
+/**
+ * @file platform_decode_test.cpp Decoding of settings and messages, and rows
+ * of jobs in CBOR.
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "codec/job_cbor.h"
+#include "codec/peer_call_cbor.h"
+#include "platform/caller_wire.h"
+#include "platform/node_config.h"
+#include "platform/wire_decode.h"
+
+namespace bronze {
+
+namespace {
+
+constexpr char kSettings[] = R"(
+node_name: "vm-1"
+ip: "127.0.0.1"
+zone: "a"
+listen:
+  front: "127.0.0.1:8161"
+  ready: "127.0.0.1:8167"
+port_range: [7720, 7735]
+platform:
+  address: "127.0.0.1:9000"
+bounds:
+  max_hold_ms: 6000
+  status_s: 120
+unknown_field: {more: [1, 2]}
+)";
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformDecodeSuite)
+
+/** Guards against settings that are refused for fields that are new. */
+BOOST_AUTO_TEST_CASE(SettingsAreRead) {
+  const auto config = DecodeNodeConfig(kSettings);
+  BOOST_REQUIRE(config.has_value());
+  BOOST_TEST(config.value().m_vm.Value() == "vm-1");
+  BOOST_TEST(config.value().m_peerAddress.port() == 7720);
+  BOOST_TEST((config.value().m_maxLease == seconds(6)));
+}
+
+/** Guards against a check that stops at the first problem. */
+BOOST_AUTO_TEST_CASE(AllProblemsOfSettingsAreNamed) {
+  const auto config = DecodeNodeConfig("ip: [1]\nlisten: {front: nonsense}\n");
+  BOOST_REQUIRE(!config.has_value());
+  const std::string& text = config.error().m_message;
+  for (const auto* name : {"node_name", "zone", "nonsense", "listen.ready",
+                           "platform", "port_range"}) {
+    BOOST_TEST(text.find(name) != std::string::npos, name);
+  }
+  BOOST_TEST(!DecodeNodeConfig("a: [").has_value());
+}
+
+/** Guards against names of tasks that are taken for others. */
+BOOST_AUTO_TEST_CASE(TaskNamesAreRead) {
+  const auto key = DecodeTaskName("5c0e7a21d94b36f8.0.1.17");
+  BOOST_REQUIRE(key.has_value());
+  BOOST_TEST(key.value().m_index == 17U);
+  BOOST_TEST(EncodeTaskName(key.value()) == "5c0e7a21d94b36f8.0.1.17");
+  for (const auto* bad :
+       {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "x.0.1.2",
+        "5c0e7a21d94b36f8.0.1.17.", "5c0e7a21d94b36f8.0.1.-1",
+        "5c0e7a21d94b36f8.0..1", "5c0e7a21d94b36f8.0.1.99999999999"}) {
+    BOOST_TEST(!DecodeTaskName(bad).has_value(), bad);
+  }
+}
+
+/** Guards against a report that is half read. */
+BOOST_AUTO_TEST_CASE(ReportsAreRead) {
+  const auto report = DecodeRunnerReport(
+      R"({"clock_ms":482113,"born":7,"running":[["5c0e7a21d94b36f8.0.1.17",2,)"
+      R"("00",41,35]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
+  BOOST_REQUIRE(report.has_value());
+  BOOST_TEST(report.value().m_running.at(0).m_measure == 35);
+  BOOST_TEST(report.value().m_ended.at(0).m_number.Value() == 58U);
+  for (
+      const auto* bad :
+      {"", "[]", "{}", R"({"clock_ms":"x"})", R"({"clock_ms":1,"running":[5]})",
+       R"({"clock_ms":1,"finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"odd"]]})"}) {
+    BOOST_TEST(!DecodeRunnerReport(bad).has_value(), bad);
+  }
+}
+
+/** Guards against runners of other writers that are used. */
+BOOST_AUTO_TEST_CASE(ForeignRunnersAreRefused) {
+  BOOST_TEST(DecodeRunnerEntry(
+                 "a", R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                      R"("state":"ready","capacity":{"cpu":5}})")
+                 .has_value());
+  for (const auto* bad :
+       {R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"odd",)"
+        R"("capacity":{}})",
+        R"({"service":7,"address":"1.2.3.4:5","zone":"z","state":"ready",)"
+        R"("capacity":{}})",
+        R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready"})",
+        "\xff", "7"}) {
+    BOOST_TEST(!DecodeRunnerEntry("a", bad).has_value(), bad);
+  }
+}
+
+/** Guards against one bad route that takes the others with it. */
+BOOST_AUTO_TEST_CASE(BadRoutesAreLeftOut) {
+  std::vector<std::string> problems;
+  const auto config = DecodeLiveConfig(
+      R"({"version":7,"routes":[{"name":"a","host":"H.Example",)"
+      R"("path_prefix":"/a/","service":"s"},{"name":5}],"services":[]})",
+      problems);
+  BOOST_REQUIRE(config.has_value());
+  BOOST_TEST(config.value().m_queues.size() == 1U);
+  BOOST_TEST(config.value().m_queues[0].m_host == "h.example");
+  BOOST_TEST(problems.size() == 1U);
+  BOOST_TEST(!DecodeLiveConfig("{}", problems).has_value());
+}
+
+/** Guards against a shorter prefix that takes a longer one's calls. */
+BOOST_AUTO_TEST_CASE(LongestPrefixSelectsTheQueue) {
+  sched::LiveConfig config;
+  config.m_version = ConfigVersion(1);
+  config.m_queues = {{sched::QueueId("short"), "h", "/a/", {}},
+                     {sched::QueueId("long"), "h", "/a/b/", {}}};
+  HttpCall call;
+  call.m_method = "GET";
+  call.m_headers = {{"Host", "H:80"}};
+  call.m_target = "/a/b/5c0e7a21d94b36f8";
+  const auto request = DecodeCallerCall(call, config);
+  BOOST_REQUIRE(request.has_value());
+  BOOST_TEST(request.value().m_queue.Value() == "long");
+}
+
+/** Guards against rows that lose a field on the way to the next owner. */
+BOOST_AUTO_TEST_CASE(StateRowsKeepEveryField) {
+  sched::StoredState state;
+  state.m_job = JobId(9);
+  state.m_phase = sched::JobPhase::Active;
+  state.m_nextOccurrence = 3;
+  state.m_anyStarted = true;
+  using Stored = sched::StoredTask;
+  state.m_occurrences = {
+      {2,
+       {{Stored::State::Open, sched::RunNumber(0), 0, {}, ""},
+        {Stored::State::Open, sched::RunNumber(4), 5, {}, "half"},
+        {Stored::State::Placed, sched::RunNumber(300), 0, RunnerId("r"), ""},
+        {Stored::State::Done, sched::RunNumber(1), 1, {}, ""}}}};
+  const auto read = DecodeJobState(EncodeJobState(state));
+  BOOST_REQUIRE(read.has_value());
+  const auto& tasks = read.value().m_occurrences.at(0).m_tasks;
+  BOOST_TEST(read.value().m_nextOccurrence == 3U);
+  BOOST_TEST(read.value().m_occurrences[0].m_number == 2U);
+  BOOST_TEST(tasks.at(1).m_failedRuns == 5U);
+  BOOST_TEST(tasks[1].m_checkpoint == "half");
+  BOOST_TEST(tasks[2].m_run.Value() == 300U);
+  BOOST_TEST(tasks[2].m_runner.Value() == "r");
+  BOOST_TEST((tasks[3].m_state == Stored::State::Done));
+  BOOST_TEST(!DecodeJobState("\x81\x07").has_value());
+  BOOST_TEST(!DecodeJobState("").has_value());
+}
+
+/** Guards against calls between daemons that change on the way. */
+BOOST_AUTO_TEST_CASE(PeerCallsKeepEveryField) {
+  PeerCall call;
+  call.m_verb = PeerVerb::Submit;
+  call.m_cell = CellId(0);
+  call.m_job = JobId(9);
+  call.m_queue = sched::QueueId("q");
+  call.m_window = milliseconds(2500);
+  auto spec = DecodeJobBody(
+      R"({"spec":"s","steps":[{"count":4,"cpu":500,"fills":true,"image":"i",)"
+      R"("estimate_ms":900,"after":[],"saves_progress":true}],"max_runs":2})");
+  BOOST_REQUIRE(spec.has_value());
+  call.m_spec = std::move(spec.value());
+  call.m_spec.m_id = JobId(9);
+  const auto read = DecodePeerCall(EncodePeerCall(call));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read.value().m_window == milliseconds(2500)));
+  const auto& step = read.value().m_spec.m_steps.at(0);
+  BOOST_TEST(step.m_fills);
+  BOOST_TEST(step.m_savesProgress);
+  BOOST_TEST(step.m_image == "i");
+  BOOST_TEST(read.value().m_spec.m_maxRuns == 2U);
+  BOOST_TEST(!DecodePeerCall("\x82\x18\x63").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bronze
