--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -136,6 +136,52 @@
 
 namespace {
 
+/** Drops the job and everything that the cell keeps of it. */
+void ForgetUnstored(Cell& aCell, Job& aJob) {
+  const JobId id = aJob.m_spec.m_id;
+  for (auto& [number, occurrence] : aJob.m_occurrences) {
+    for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
+      aCell.m_queue.erase(QueueKeyOf(aJob, number, step));
+      for (uint32_t i = 0; i < aJob.m_spec.m_steps[step].m_count; ++i) {
+        const TaskKey key{id, number, step, i};
+        const TaskPlace place = FindTask(aCell, key);
+        if (HasPlace(place.m_task->m_phase)) {
+          Release(aCell, key, *place.m_step, *place.m_task);
+        }
+      }
+    }
+  }
+  if (aJob.m_spec.m_maxRuns == 0 && aJob.m_phase == JobPhase::Active) {
+    auto& pending = aCell.m_pending[aJob.m_spec.m_queue];
+    if (pending > 0) --pending;
+  }
+  aCell.m_scheduled.erase({aJob.m_spec.m_startTime, id});
+  if (aJob.m_phase != JobPhase::Active) {
+    aCell.m_ended.erase({aJob.m_endedAt, id});
+  }
+  aCell.m_dirty.erase(id);
+  aCell.m_jobs.erase(id);
+}
+
+}  // namespace
+
+std::vector<JobId> WithdrawUnstored(Cell& aCell, const std::set<JobId>& aKept) {
+  std::vector<JobId> withdrawn;
+  const std::set<JobId> dirty = aCell.m_dirty;
+  for (const JobId id : dirty) {
+    const auto found = aCell.m_jobs.find(id);
+    if (found == aCell.m_jobs.end() || found->second.m_specStored ||
+        aKept.count(id) > 0) {
+      continue;
+    }
+    ForgetUnstored(aCell, found->second);
+    withdrawn.push_back(id);
+  }
+  return withdrawn;
+}
+
+namespace {
+
 void BeginDueOccurrences(Cell& aCell, TimePoint aNow, UnixMillis aUnixNow) {
   while (!aCell.m_scheduled.empty() &&
          aCell.m_scheduled.begin()->first <= aUnixNow) {
--- a/src/core/sched/job_cmd.h
+++ b/src/core/sched/job_cmd.h
@@ -46,6 +46,14 @@
 /** @return accepted jobs of the queue of which no task has started. */
 [[nodiscard]] uint32_t PendingJobs(const Cell& aCell, const QueueId& aQueue);
 
+/**
+ * Takes back the jobs that are not stored yet, except those of aKept, so that
+ * their callers can be told that they never run.
+ * @return the jobs that are gone.
+ */
+[[nodiscard]] std::vector<JobId> WithdrawUnstored(Cell& aCell,
+                                                  const std::set<JobId>& aKept);
+
 /** Begins the occurrences that are due, and removes jobs kept long enough. */
 void AdvanceJobs(Cell& aCell, TimePoint aNow, UnixMillis aUnixNow);
 
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -302,7 +302,9 @@
   const TimePoint now = BootNow();
   switch (aCall.m_verb) {
     case PeerVerb::Submit: {
-      if (!HasAuthority(now)) {
+      // A job that is known is the same job, whatever the store does.
+      const bool isNew = m_cell.m_jobs.count(aCall.m_job) == 0;
+      if (!HasAuthority(now) || (isNew && m_storeFails)) {
         answer.m_error =
             MakeError(ErrorKind::StoreUnavailable, "the store is away");
         break;
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -91,6 +91,9 @@
   void FinishCommit(RowVersion aVersion);
   void AnswerWaiters();
   void FailWaiters(const Error& aError, bool aOnlyExpired);
+  /** Tells callers whose jobs were never sent to the store that they never run.
+   */
+  void RefuseUnstored(bool aCommitUnderWay);
   void WaitFor(const sched::StoredWhen& aWhen, const PeerCall& aCall,
                AnswerHandler aHandler);
   void LoseCell(std::string_view aReason);
@@ -118,6 +121,9 @@
   sched::Commit m_commit;          ///< Under way.
   StoreTransaction m_transaction;  ///< Of m_commit; sent until it is settled.
   bool m_commitPending = false;
+  bool m_commitUnknown = false;  ///< A try of m_transaction had no answer.
+  bool m_storeFails = false;     ///< The last try of a commit failed.
+  TimePoint m_commitNotBefore;   ///< Pause after a refusal.
   uint32_t m_commitTries = 0;
   TimePoint m_commitBegunAt;
   TimePoint m_commitSentAt;
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -29,6 +29,7 @@
 void CellOwner::StartCommit() {
   if (m_commitPending || m_ended) return;
   const TimePoint now = BootNow();
+  if (now < m_commitNotBefore) return;
   const bool releasing = static_cast<bool>(m_onReleased);
   if (!sched::HasCommit(m_cell) && !releasing &&
       now - m_lastCommitSentAt < kBeat) {
@@ -57,6 +58,7 @@
     m_transaction.m_removes.push_back({kStateTable, m_part, JobKey(job)});
   }
   m_commitPending = true;
+  m_commitUnknown = false;
   m_commitTries = 0;
   m_commitBegunAt = now;
   SendCommit();
@@ -91,8 +93,18 @@
     LoseCell("another owner");
     return;
   }
-  m_commitTimer.expires_after(
-      aResult.m_outcome == StoreOutcome::Unknown ? Duration(1) : kRetryPause);
+  m_storeFails = true;
+  if (aResult.m_outcome == StoreOutcome::Refused && !m_commitUnknown) {
+    // Certainly not done: the rows go into a later transaction.
+    sched::ReturnCommit(m_cell, m_commit);
+    m_commitPending = false;
+    m_commitNotBefore = BootNow() + kRetryPause;
+    RefuseUnstored(false);
+    return;
+  }
+  if (aResult.m_outcome != StoreOutcome::Refused) m_commitUnknown = true;
+  RefuseUnstored(true);
+  m_commitTimer.expires_after(m_commitTries == 1 ? Duration(1) : kRetryPause);
   m_commitTimer.async_wait(
       [self = shared_from_this()](boost::system::error_code aError) {
         if (!aError && !self->m_ended) self->SendCommit();
@@ -103,6 +115,7 @@
   m_commitPending = false;
   m_ownerVersion = aVersion;
   m_lastCommitSentAt = m_commitSentAt;
+  m_storeFails = false;
   if (m_storeLost) {
     m_storeLost = false;
     m_log.Write("[store]", "regained cell={} tries={}", m_cellId.Value(),
@@ -127,6 +140,30 @@
   AnswerWaiters();
 }
 
+void CellOwner::RefuseUnstored(bool aCommitUnderWay) {
+  std::set<JobId> sent;
+  if (aCommitUnderWay) {
+    for (const sched::JobWrite& write : m_commit.m_writes) {
+      sent.insert(write.m_job);
+    }
+  }
+  std::vector<AnswerHandler> refused;
+  for (const JobId job : sched::WithdrawUnstored(m_cell, sent)) {
+    m_log.Write("[cell]", "withdrawn job={:016x} by=store", job.Value());
+    const auto [first, last] = m_waiters.equal_range(job);
+    for (auto at = first; at != last; ++at) {
+      refused.push_back(std::move(at->second.m_handler));
+    }
+    m_waiters.erase(first, last);
+  }
+  for (const AnswerHandler& handler : refused) {
+    PeerAnswer answer;
+    answer.m_error =
+        MakeError(ErrorKind::StoreUnavailable, "the store is away");
+    handler(std::move(answer));
+  }
+}
+
 void CellOwner::AnswerWaiters() {
   std::vector<AnswerHandler> ready;
   for (auto at = m_waiters.begin(); at != m_waiters.end();) {
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -44,9 +44,8 @@
 Duration ClaimDelay(const NodeConfig& aConfig) {
   const std::string& vm = aConfig.m_vm.Value();
   const uint64_t hash = XXH3_64bits(vm.data(), vm.size());
-  const double lacking =
-      std::clamp((kAmpleCpuShare - aConfig.m_cpuShare) / kAmpleCpuShare, 0.0,
-                 1.0);
+  const double lacking = std::clamp(
+      (kAmpleCpuShare - aConfig.m_cpuShare) / kAmpleCpuShare, 0.0, 1.0);
   return milliseconds(static_cast<int64_t>(hash % kClaimSpreadMs) +
                       static_cast<int64_t>(lacking * kSmallVmDelayMs));
 }
--- a/tests/core/sched/cell_fixture.h
+++ b/tests/core/sched/cell_fixture.h
@@ -67,7 +67,7 @@
       OrderOutcome aOutcome = OrderOutcome::Applied) {
     PlaceTasks(m_cell, m_now);
     CommitAll();
-    const std::vector<StartOrder> starts = Take<StartOrder>();
+    std::vector<StartOrder> starts = Take<StartOrder>();
     for (const StartOrder& start : starts) {
       ApplyStartAnswer(m_cell, start, aOutcome, m_now);
     }
--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -285,8 +285,11 @@
   const RunningRow kept{{JobId(1), 0, 0, 0}, RunNumber(1), "", 100, 0};
   std::vector<EndRow> ends;
   for (uint32_t index = 0; index < 3; ++index) {
-    ends.push_back({EndNumber(index + 1), {JobId(2), 0, 0, index}, RunNumber(1),
-                    EndKind::Failed, ""});
+    ends.push_back({EndNumber(index + 1),
+                    {JobId(2), 0, 0, index},
+                    RunNumber(1),
+                    EndKind::Failed,
+                    ""});
   }
   Report(runner, {kept}, ends);
   CommitAll();
@@ -320,6 +323,25 @@
   BOOST_TEST(StartAll().size() == 1U);
 }
 
+/** Guards against a job that runs although its caller was told that it never
+ *  does, and against places that stay reserved for it. */
+BOOST_AUTO_TEST_CASE(UnstoredJobsCanBeWithdrawn) {
+  AddRunner("a");
+  Submit(Spec(1));
+  StartAll();
+  BOOST_TEST(SubmitJob(m_cell, Spec(2), m_now, m_unixNow).has_value());
+  BOOST_TEST(SubmitJob(m_cell, Spec(3), m_now, m_unixNow).has_value());
+  PlaceTasks(m_cell, m_now);
+  const auto gone = WithdrawUnstored(m_cell, {JobId(3)});
+  BOOST_REQUIRE_EQUAL(gone.size(), 1U);
+  BOOST_TEST((gone[0] == JobId(2)));
+  BOOST_TEST(m_cell.m_jobs.size() == 2U);
+  BOOST_TEST(PendingJobs(m_cell, QueueId("queue")) == 1U);
+  BOOST_TEST(m_cell.m_runners[0].m_tasks.size() == 2U);
+  CommitAll();
+  BOOST_TEST(Take<StartOrder>().size() == 1U);
+}
+
 /** Guards against losing a checkpoint when a task is moved or the owner ends.
  */
 BOOST_AUTO_TEST_CASE(CheckpointSurvivesTheOwner) {
