scheduler: call the last owner known while the store turns this VM away

Ruled out: the owner (its commits went on). The test, with a store that refuses one of two addresses, failed first.

--- a/src/scheduler/cell_seat.cpp
+++ b/src/scheduler/cell_seat.cpp
@@ -17,7 +17,8 @@
 /** Two reads further apart than this do not show that the owner was silent in
  *  between: the store may have been away for it, too. */
 constexpr Duration kLongestPollGap = milliseconds(1300);
-/** A view of the owner older than this is not used for calls. */
+/** An owner whose row has not changed for this, as the store shows, is not
+ *  called any more. */
 constexpr Duration kViewValid = seconds(4);
 
 }  // namespace
@@ -44,7 +45,11 @@
   if (m_owner || m_row.m_vm.empty() || m_row.m_vm == m_identity.m_vm.Value()) {
     return {};
   }
-  if (BootNow() - m_changedAt > kViewValid) return {};
+  const TimePoint now = BootNow();
+  const bool storeReachable = now - m_polledAt < kLongestPollGap;
+  // Without the store the last owner known is the best guess: it answers for
+  // itself whether it still is, and the store may turn only this VM away.
+  if (storeReachable && now - m_changedAt > kViewValid) return {};
   return m_row.m_address;
 }
 
--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -68,16 +68,18 @@
 
 }  // namespace
 
-RowStore::RowStore(ThreadPool& aThreads) : m_threads(aThreads) {
-  m_server = std::make_unique<HttpServer>(
-      aThreads, HttpLimits(), m_counters,
-      [this](size_t aThread, HttpCall aCall, auto aResponder) {
-        Handle(aThread, aCall, aResponder);
-      });
-}
+RowStore::RowStore(ThreadPool& aThreads) : m_threads(aThreads) {}
 
 boost::asio::ip::tcp::endpoint RowStore::Listen() {
-  return m_server->Listen({boost::asio::ip::address_v4::loopback(), 0}).value();
+  const int front = static_cast<int>(m_fronts.size());
+  m_fronts.push_back(std::make_unique<HttpServer>(
+      m_threads, HttpLimits(), m_counters,
+      [this, front](size_t aThread, HttpCall aCall, auto aResponder) {
+        Handle(front, aThread, aCall, aResponder);
+      }));
+  return m_fronts.back()
+      ->Listen({boost::asio::ip::address_v4::loopback(), 0})
+      .value();
 }
 
 void RowStore::SetFaults(RowStoreFaults aFaults) {
@@ -113,13 +115,13 @@
   return count;
 }
 
-void RowStore::Handle(size_t aThread, const HttpCall& aCall,
+void RowStore::Handle(int aFront, size_t aThread, const HttpCall& aCall,
                       const std::shared_ptr<HttpResponder>& aResponder) {
   bool refuses = false;
   bool loses = false;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    refuses = m_faults.m_refuses;
+    refuses = m_faults.m_refuses || m_faults.m_refusedFront == aFront;
     loses = m_faults.m_losesAnswers && ++m_writes % 2 == 0;
   }
   if (refuses) {
--- a/src/standin/row_store.h
+++ b/src/standin/row_store.h
@@ -25,6 +25,7 @@
   bool m_losesAnswers = false;  ///< Each second write is done, its connection
                                 ///< breaks.
   bool m_forgets = false;       ///< Each wait for changes gets 410, once.
+  int m_refusedFront = -1;      ///< Calls at that address get 503.
 };
 
 /** What a runner does to orders at present. */
@@ -37,7 +38,7 @@
  public:
   explicit RowStore(ThreadPool& aThreads);
 
-  /** @return the address that it serves. */
+  /** @return another address that it serves; the first is front 0. */
   [[nodiscard]] boost::asio::ip::tcp::endpoint Listen();
 
   void SetFaults(RowStoreFaults aFaults);
@@ -62,7 +63,7 @@
     bool m_deleted = false;
   };
 
-  void Handle(size_t aThread, const HttpCall& aCall,
+  void Handle(int aFront, size_t aThread, const HttpCall& aCall,
               const std::shared_ptr<HttpResponder>& aResponder);
   HttpReply Transact(const HttpCall& aCall);
   HttpReply ReadRange(const HttpCall& aCall);
@@ -74,7 +75,7 @@
 
   ThreadPool& m_threads;
   Counters m_counters;
-  std::unique_ptr<HttpServer> m_server;
+  std::vector<std::unique_ptr<HttpServer>> m_fronts;
   std::mutex m_mutex;  ///< Guards all below.
   std::map<Key, Row> m_rows;
   uint64_t m_version = 0;
--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -121,8 +121,10 @@
             address));
   }
 
-  RunningNode& AddNode(const std::string& aName) {
-    m_nodes.push_back(std::make_unique<RunningNode>(aName, m_storeAddress));
+  /** @param aOwnFront the node reaches the store at an address of its own. */
+  RunningNode& AddNode(const std::string& aName, bool aOwnFront = false) {
+    const auto store = aOwnFront ? m_store.Listen() : m_storeAddress;
+    m_nodes.push_back(std::make_unique<RunningNode>(aName, store));
     return *m_nodes.back();
   }
 
--- a/tests/scheduler/scheduler_store_test.cpp
+++ b/tests/scheduler/scheduler_store_test.cpp
@@ -15,6 +15,8 @@
 
 }  // namespace
 
+using standin::RowStoreFaults;
+
 BOOST_FIXTURE_TEST_SUITE(SchedulerStoreSuite, NodeFixture)
 
 /** Guards the whole path: a job's steps run in order, each task once, and its
@@ -53,7 +55,9 @@
 BOOST_AUTO_TEST_CASE(LostAnswersOfTheStoreDoNoHarm) {
   RunningNode& node = AddNode("n1");
   BOOST_REQUIRE(SubmitUntilAccepted(node, kJob));
-  m_store.SetFaults({false, true, false});
+  RowStoreFaults faults;
+  faults.m_losesAnswers = true;
+  m_store.SetFaults(faults);
   BOOST_TEST(Submit(node, "00000000000000a2").m_status == 200);
   BOOST_TEST(BecomesCompleted(node, "00000000000000a2"));
   m_store.SetFaults({});
@@ -67,7 +71,9 @@
   RunningNode& node = AddNode("n1");
   BOOST_REQUIRE(SubmitUntilAccepted(node, kJob));
   BOOST_REQUIRE(BecomesCompleted(node, kJob));
-  m_store.SetFaults({true, false, false});
+  RowStoreFaults faults;
+  faults.m_refuses = true;
+  m_store.SetFaults(faults);
   BOOST_TEST(Eventually([&] {
     return Call(node, "GET", "/queue/00000000000000c1").m_status == 503;
   }));
@@ -113,12 +119,30 @@
   BOOST_REQUIRE(SubmitUntilAccepted(node, kJob));
   BOOST_REQUIRE(BecomesCompleted(node, kJob));
   BOOST_REQUIRE(SubmitUntilAccepted(node, "00000000000000e1"));
-  m_store.SetFaults({true, false, false});
+  RowStoreFaults faults;
+  faults.m_refuses = true;
+  m_store.SetFaults(faults);
   for (const auto& runner : m_runners) runner->RaiseFence();
   BOOST_TEST(Eventually(
       [&] { return Call(node, "GET", "/queue/" + kJob).m_status == 503; }));
 }
 
+/** Guards against callers that are refused because the store turns away the VM
+ *  that they reached, while the owner serves (found by incident inc-8443). */
+BOOST_AUTO_TEST_CASE(CallersOfATurnedAwayNodeReachTheOwner) {
+  RunningNode& owner = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(owner, kJob));
+  RunningNode& other = AddNode("n2", true);
+  BOOST_REQUIRE(SubmitUntilAccepted(other, "00000000000000f1"));
+  RowStoreFaults faults;
+  faults.m_refusedFront = 1;
+  m_store.SetFaults(faults);
+  // Longer than a view of the owner is used while the store can be read.
+  std::this_thread::sleep_for(seconds(5));
+  BOOST_TEST(Submit(other, "00000000000000f2").m_status == 200);
+  BOOST_TEST(BecomesCompleted(other, "00000000000000f2"));
+}
+
 /** Guards against entries of other writers that stop the reading of a table. */
 BOOST_AUTO_TEST_CASE(ForeignEntriesAreSkipped) {
   m_store.Put("servers", "", "a-foreign", "\xff\xfe");
@@ -135,7 +159,9 @@
 BOOST_AUTO_TEST_CASE(ConfigurationIsFollowedAndNeverGoesBack) {
   RunningNode& node = AddNode("n1");
   BOOST_REQUIRE(SubmitUntilAccepted(node, kJob));
-  m_store.SetFaults({false, false, true});
+  RowStoreFaults faults;
+  faults.m_forgets = true;
+  m_store.SetFaults(faults);
   PutConfig(5, "moved");
   BOOST_TEST(Eventually([&] {
     return Call(node, "GET", "/moved/00000000000000d1").m_status == 410;
