--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -26,8 +26,7 @@
 struct CellSettings {
   Duration m_lease = seconds(7);      ///< Ordered with each renewal.
   Duration m_maxLease = seconds(10);  ///< The runner shortens longer ones.
-  Duration m_stopTimeout = milliseconds(400);  ///< A stop takes at most this.
-  Duration m_statusRetention = seconds(150);   ///< Ended jobs stay known.
+  Duration m_statusRetention = seconds(150);  ///< Ended jobs stay known.
   /** Wait of a renewal for an end, where no tails have to be watched. */
   Duration m_holdWait = milliseconds(1500);
   /** The same where tasks that fill run beside tasks that serve: it bounds the
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -110,11 +110,10 @@
   return index;
 }
 
-void RemoveRunner(Cell& aCell, const RunnerId& aRunner, TimePoint aNow) {
+void RemoveRunner(Cell& aCell, const RunnerId& aRunner) {
   const auto found = aCell.m_runnerByName.find(aRunner);
   if (found == aCell.m_runnerByName.end()) return;
   aCell.m_runners[found->second.Value()].m_listed = false;
-  (void)aNow;
 }
 
 RunnerMillis RunnerClockAt(const Runner& aRunner, TimePoint aNow) {
--- a/src/core/sched/runner_cmd.h
+++ b/src/core/sched/runner_cmd.h
@@ -42,7 +42,7 @@
                          TimePoint aNow);
 
 /** The runner is no longer in the platform's list. */
-void RemoveRunner(Cell& aCell, const RunnerId& aRunner, TimePoint aNow);
+void RemoveRunner(Cell& aCell, const RunnerId& aRunner);
 
 /** @return the index of the runner, entered without an address if unknown. */
 RunnerIndex RunnerByName(Cell& aCell, const RunnerId& aRunner, TimePoint aNow);
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -78,7 +78,6 @@
 // platform name the same figures.
 constexpr double kDefaultGraceSeconds = 6.0;
 constexpr int64_t kDefaultMaxLeaseMs = 6000;
-constexpr int64_t kDefaultStopMs = 400;
 constexpr double kDefaultStatusSeconds = 120.0;
 
 NodeConfig Read(Reader& aReader) {
@@ -103,8 +102,6 @@
   config.m_grace = aReader.Seconds({"bounds", "grace_s"}, kDefaultGraceSeconds);
   config.m_maxLease =
       aReader.Millis({"bounds", "max_hold_ms"}, kDefaultMaxLeaseMs);
-  config.m_stopTimeout =
-      aReader.Millis({"bounds", "stop_timeout_ms"}, kDefaultStopMs);
   config.m_statusRetention =
       aReader.Seconds({"bounds", "status_s"}, kDefaultStatusSeconds);
   return config;
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -24,7 +24,6 @@
   double m_cpuShare = 1.0;       ///< Of one core.
   Duration m_grace{};            ///< From SIGTERM to SIGKILL.
   Duration m_maxLease{};         ///< A runner shortens longer leases.
-  Duration m_stopTimeout{};      ///< A runner's stop takes at most this.
   Duration m_statusRetention{};  ///< Ended jobs stay known this long.
 };
 
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -145,7 +145,7 @@
       m_context, m_store, m_log, kRunnerTable,
       TableListener{[this](const StoreRow& aRow) { OnRunnerRow(aRow); },
                     [this](const std::string& aKey) {
-                      sched::RemoveRunner(m_cell, RunnerId(aKey), BootNow());
+                      sched::RemoveRunner(m_cell, RunnerId(aKey));
                     }});
   m_runnerWatch->Start();
   Tick();
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -17,6 +17,7 @@
 
 #include "codec/job_cbor.h"
 #include "codec/peer_call_cbor.h"
+#include "core/metrics/histogram_type.h"
 #include "core/sched/commit_cmd.h"
 #include "core/sched/live_config_type.h"
 #include "platform/runner_client.h"
@@ -57,6 +58,9 @@
   void Abandon();
 
   [[nodiscard]] const sched::Cell& State() const { return m_cell; }
+  [[nodiscard]] const LatencyHistogram& CommitTimes() const {
+    return m_commitTimes;
+  }
   [[nodiscard]] bool IsActing() const { return m_loaded && !m_ended; }
 
  private:
@@ -130,7 +134,8 @@
   uint32_t m_commitTries = 0;
   TimePoint m_commitBegunAt;
   TimePoint m_commitSentAt;
-  TimePoint m_lastCommitSentAt;  ///< Of the last one that was acknowledged.
+  TimePoint m_lastCommitSentAt;    ///< Of the last one that was acknowledged.
+  LatencyHistogram m_commitTimes;  ///< From the first try to the answer.
   bool m_storeLost = false;
   std::multimap<JobId, Waiter> m_waiters;
   std::function<void()> m_onReleased;  ///< Set while the cell is handed over.
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -6,6 +6,7 @@
  * means that an earlier try took effect.
  */
 
+#include "core/metrics/histogram_func.h"
 #include "core/sched/job_cmd.h"
 #include "scheduler/boot_clock.h"
 #include "scheduler/cell_owner.h"
@@ -115,6 +116,7 @@
   m_commitPending = false;
   m_ownerVersion = aVersion;
   m_lastCommitSentAt = m_commitSentAt;
+  Record(m_commitTimes, BootNow() - m_commitBegunAt);
   m_storeFails = false;
   if (m_storeLost) {
     m_storeLost = false;
--- a/src/scheduler/cell_seat.cpp
+++ b/src/scheduler/cell_seat.cpp
@@ -63,14 +63,13 @@
 
 void CellSeat::Poll() {
   if (m_owner) return;
-  m_store.Read(
-      kOwnerTable, PartOf(m_cell), "", kPollTimeout,
-      [self = shared_from_this(), askedAt = BootNow()](RowsResult aResult) {
-        self->OnPolled(std::move(aResult), askedAt);
-      });
+  m_store.Read(kOwnerTable, PartOf(m_cell), "", kPollTimeout,
+               [self = shared_from_this()](RowsResult aResult) {
+                 self->OnPolled(std::move(aResult));
+               });
 }
 
-void CellSeat::OnPolled(RowsResult aResult, TimePoint aAskedAt) {
+void CellSeat::OnPolled(RowsResult aResult) {
   if (m_owner) return;
   const TimePoint now = BootNow();
   if (aResult.m_outcome != StoreOutcome::Done) {
@@ -89,7 +88,6 @@
   m_version = version;
   m_polledAt = now;
   m_everPolled = true;
-  (void)aAskedAt;
   ConsiderClaim(now);
 }
 
@@ -143,7 +141,7 @@
                      return;
                    }
                  }
-                 self->OnPolled(std::move(aRows), BootNow());
+                 self->OnPolled(std::move(aRows));
                });
 }
 
--- a/src/scheduler/cell_seat.h
+++ b/src/scheduler/cell_seat.h
@@ -45,7 +45,7 @@
 
  private:
   void Poll();
-  void OnPolled(RowsResult aResult, TimePoint aAskedAt);
+  void OnPolled(RowsResult aResult);
   void ConsiderClaim(TimePoint aNow);
   void Claim();
   void OnClaimed(const OwnerRow& aClaimed, TransactionResult aResult);
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 
 #include "core/error/error_func.h"
+#include "core/metrics/histogram_func.h"
 #include "net/address_func.h"
 #include "platform/wire_decode.h"
 #include "scheduler/boot_clock.h"
@@ -57,7 +58,6 @@
   // Shorter than the longest lease, so that what ran on a lost runner is
   // started elsewhere earlier; long enough to outlast a takeover.
   settings.m_lease = aConfig.m_maxLease * kLeasePercent / 100;
-  settings.m_stopTimeout = aConfig.m_stopTimeout;
   settings.m_statusRetention = aConfig.m_statusRetention + seconds(30);
   return settings;
 }
@@ -174,10 +174,11 @@
   call.m_job = aRequest.m_job;
   call.m_cell = CellOf(aRequest.m_job);
   call.m_spec = std::move(aRequest.m_spec);
-  ServeCall(std::move(call), [this, request = std::move(aRequest),
-                              responder = aResponder](PeerAnswer aAnswer) {
-    AnswerCaller(request, aAnswer, responder);
-  });
+  ServeCall(std::move(call),
+            [this, request = std::move(aRequest), responder = aResponder,
+             begunAt = BootNow()](PeerAnswer aAnswer) {
+              AnswerCaller(request, aAnswer, responder, begunAt);
+            });
 }
 
 void EntryNode::ServeCall(PeerCall aCall, AnswerHandler aHandler) {
@@ -233,7 +234,9 @@
 
 void EntryNode::AnswerCaller(const CallerRequest& aRequest,
                              const PeerAnswer& aAnswer,
-                             const SharedResponder& aResponder) {
+                             const SharedResponder& aResponder,
+                             TimePoint aBegunAt) {
+  Record(m_answerTimes, BootNow() - aBegunAt);
   const std::string_view verb = VerbName(aRequest.m_verb);
   if (aAnswer.m_error) {
     const auto name = AnswerFor(aAnswer.m_error->m_kind).m_name;
@@ -307,32 +310,54 @@
   });
 }
 
+namespace {
+
+void AppendCount(std::string& aText, std::string_view aName, uint64_t aCount) {
+  aText += fmt::format("bronze_{} {}\n", aName, aCount);
+}
+
+void AppendCell(std::string& aText, const sched::Cell& aCell) {
+  constexpr std::string_view kEnds[] = {"done",   "failed", "stopped",
+                                        "lapsed", "broken", "alone"};
+  const sched::CellCounts& counts = aCell.m_counts;
+  AppendCount(aText, "jobs_accepted_total", counts.m_accepted);
+  AppendCount(aText, "jobs_completed_total", counts.m_completed);
+  AppendCount(aText, "jobs_failed_total", counts.m_failed);
+  AppendCount(aText, "jobs_cancelled_total", counts.m_cancelled);
+  AppendCount(aText, "task_starts_total", counts.m_starts);
+  AppendCount(aText, "task_stops_total", counts.m_stops);
+  AppendCount(aText, "task_paces_total", counts.m_paces);
+  AppendCount(aText, "starts_refused_total", counts.m_rejectedStarts);
+  AppendCount(aText, "runners_lapsed_total", counts.m_lapsedRunners);
+  AppendCount(aText, "tasks_stalled_total", counts.m_stalledTasks);
+  AppendCount(aText, "quarantines_total", counts.m_quarantines);
+  AppendCount(aText, "queued_steps", aCell.m_queue.size());
+  for (size_t kind = 0; kind < std::size(kEnds); ++kind) {
+    AppendCount(aText,
+                fmt::format("task_ends_total{{kind=\"{}\"}}", kEnds[kind]),
+                counts.m_endsByKind[kind]);
+  }
+}
+
+}  // namespace
+
 std::string EntryNode::Metrics() const {
   std::string text;
   for (const auto& [name, count] : m_answers) {
-    text += fmt::format("bronze_caller_answers_total{{result=\"{}\"}} {}\n",
-                        name, count);
+    AppendCount(text,
+                fmt::format("caller_answers_total{{result=\"{}\"}}", name),
+                count);
   }
-  text += fmt::format("bronze_store_calls_total {}\n", m_store.Calls());
-  text += fmt::format("bronze_store_failures_total {}\n", m_store.Failures());
-  text += fmt::format("bronze_log_dropped_total {}\n", m_log.Dropped());
-  text += fmt::format("bronze_config_version {}\n",
-                      m_liveConfig->m_version.Value());
+  AppendCount(text, "store_calls_total", m_store.Calls());
+  AppendCount(text, "store_failures_total", m_store.Failures());
+  AppendCount(text, "log_dropped_total", m_log.Dropped());
+  AppendCount(text, "config_version", m_liveConfig->m_version.Value());
+  AppendPrometheus(m_answerTimes, "bronze_caller_answer_seconds", "", text);
   for (const auto& seat : m_seats) {
     const auto owner = seat->LocalOwner();
     if (!owner) continue;
-    const sched::CellCounts& counts = owner->State().m_counts;
-    text += fmt::format(
-        "bronze_jobs_accepted_total {}\nbronze_jobs_completed_total {}\n"
-        "bronze_jobs_failed_total {}\nbronze_jobs_cancelled_total {}\n"
-        "bronze_task_starts_total {}\nbronze_task_stops_total {}\n"
-        "bronze_task_paces_total {}\nbronze_starts_refused_total {}\n"
-        "bronze_runners_lapsed_total {}\nbronze_tasks_stalled_total {}\n"
-        "bronze_quarantines_total {}\nbronze_queued_steps {}\n",
-        counts.m_accepted, counts.m_completed, counts.m_failed,
-        counts.m_cancelled, counts.m_starts, counts.m_stops, counts.m_paces,
-        counts.m_rejectedStarts, counts.m_lapsedRunners, counts.m_stalledTasks,
-        counts.m_quarantines, owner->State().m_queue.size());
+    AppendCell(text, owner->State());
+    AppendPrometheus(owner->CommitTimes(), "bronze_commit_seconds", "", text);
   }
   return text;
 }
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <vector>
 
+#include "core/metrics/histogram_type.h"
 #include "net/http_server.h"
 #include "platform/caller_wire.h"
 #include "platform/node_config.h"
@@ -48,7 +49,7 @@
   void Forward(const std::string& aAddress, PeerCall aCall,
                AnswerHandler aHandler);
   void AnswerCaller(const CallerRequest& aRequest, const PeerAnswer& aAnswer,
-                    const SharedResponder& aResponder);
+                    const SharedResponder& aResponder, TimePoint aBegunAt);
   [[nodiscard]] CellId CellOf(JobId aJob) const;
   [[nodiscard]] std::string Metrics() const;
   void Drain();
@@ -67,6 +68,7 @@
   std::shared_ptr<const sched::LiveConfig> m_liveConfig;
   std::atomic<bool> m_ready = false;
   bool m_draining = false;
+  LatencyHistogram m_answerTimes;  ///< Of callers' requests, in this VM.
   std::map<std::string, uint64_t> m_answers;  ///< By verb and result.
 };
 
--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -45,7 +45,6 @@
     config.m_storeAddress = aStore;
     config.m_grace = milliseconds(600);
     config.m_maxLease = seconds(6);
-    config.m_stopTimeout = milliseconds(200);
     config.m_statusRetention = seconds(60);
     config.m_callerAddress = m_callers.Listen(any).value();
     config.m_peerAddress = m_peers.Listen(any).value();
