--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -270,7 +270,7 @@
 }
 
 /** Guards against a runner that is never used again after a quarantine because
- *  tasks that last are still there (found by kahurangi mix --seed
+ *  tasks that last are still there (found by a hunt, mix --seed
  *  479839697604). */
 BOOST_AUTO_TEST_CASE(QuarantineEndsBesideTasksThatLast) {
   const RunnerIndex runner = AddRunner("a");
@@ -303,7 +303,7 @@
 }
 
 /** Guards against a runner that is never used again after a cut: without work
- *  it was not asked, and without an answer it got no work (found by kahurangi
+ *  it was not asked, and without an answer it got no work (found by a hunt,
  *  mix --seed 479839697604). */
 BOOST_AUTO_TEST_CASE(RunnerIsUsedAgainAfterACut) {
   const RunnerIndex runner = AddRunner("a");
