--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -148,9 +148,7 @@
   Occurrence& occurrence = aJob.m_occurrences.at(aNumber);
   for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
     const StepSpec& spec = aJob.m_spec.m_steps[step];
-    const bool open = std::all_of(
-        spec.m_after.begin(), spec.m_after.end(),
-        [&](uint32_t aEarlier) { return occurrence.m_left[aEarlier] == 0; });
+    const bool open = PredecessorsDone(spec, occurrence);
     bool queued = false;
     for (uint32_t i = 0; i < spec.m_count; ++i) {
       Task& task = occurrence.m_tasks[aJob.m_stepOffset[step] + i];
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -105,14 +105,14 @@
   aCell.m_capacityChanged = true;
 }
 
-namespace {
-
 bool PredecessorsDone(const StepSpec& aStep, const Occurrence& aOccurrence) {
   return std::all_of(
       aStep.m_after.begin(), aStep.m_after.end(),
       [&](uint32_t aEarlier) { return aOccurrence.m_left[aEarlier] == 0; });
 }
 
+namespace {
+
 /** Moves the tasks of steps whose predecessors are done to Ready. */
 void UnblockSteps(Cell& aCell, Job& aJob, uint32_t aNumber, TimePoint aNow) {
   Occurrence& occurrence = aJob.m_occurrences.at(aNumber);
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -31,6 +31,10 @@
 
 [[nodiscard]] bool HasPlace(TaskPhase aPhase);
 
+/** Whether the steps that come before this one are done. */
+[[nodiscard]] bool PredecessorsDone(const StepSpec& aStep,
+                                    const Occurrence& aOccurrence);
+
 /** Reserves the step's need on the runner and enters the task there. */
 void Reserve(Cell& aCell, const TaskKey& aKey, const StepSpec& aStep,
              Task& aTask, RunnerIndex aRunner);
