sched: gangs stop together, preemption, racks of data, queues that move

Causes, from our own variants of the deployments and from reading: - a gang member whose start was refused left the others to end as alone; - each member's failures counted alone, so a gang could start without end; - urgent steps waited behind less urgent ones when all room was reserved; - short tasks went to another rack (run time x spread factor) at once; - a job kept a pool that its queue had left; - a run without an intent took room that was given away again.

Tests: urgency_test.cpp (8 cases).

--- a/src/codec/job_cbor.cpp
+++ b/src/codec/job_cbor.cpp
@@ -108,6 +108,7 @@
   spec.m_intervalMs = aJson.at(11).get<int64_t>();
   spec.m_acceptedAt = sched::UnixMillis(aJson.at(12).get<int64_t>());
   for (const Json& step : aJson.at(13)) spec.m_steps.push_back(StepFrom(step));
+  spec.m_policy.m_configVersion = ConfigVersion(aJson.at(14).get<uint64_t>());
   return spec;
 }
 
@@ -185,7 +186,8 @@
                    aSpec.m_policy.m_maxAttempts, aSpec.m_policy.m_stretch,
                    aSpec.m_policy.m_targetLatency.count(), aSpec.m_payload,
                    aSpec.m_maxRuns, aSpec.m_startTime.Value(),
-                   aSpec.m_intervalMs, aSpec.m_acceptedAt.Value(), steps}));
+                   aSpec.m_intervalMs, aSpec.m_acceptedAt.Value(), steps,
+                   aSpec.m_policy.m_configVersion.Value()}));
 }
 
 Result<JobSpec> DecodeJobSpec(std::string_view aBytes) {
--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -53,6 +53,8 @@
   double m_placeMargin = 0.10;
   /** The same when the fills that run beside it are paced. */
   double m_paceMargin = 0.04;
+  /** How many times as long a task takes away from the rack of its data. */
+  double m_spreadFactor = 1.0;
   /** Steps of the queue looked at in one pass without finding a place. */
   uint32_t m_maxMisses = 48;
   uint32_t m_maxOpenJobs = 20000;  ///< More are refused.
@@ -108,6 +110,13 @@
   uint64_t m_stalledTasks = 0;
   uint64_t m_quarantines = 0;
   uint64_t m_rejectedStarts = 0;
+  uint64_t m_preemptions = 0;
+};
+
+/** The pool that serves a queue, and the configuration that says so. */
+struct QueueService {
+  ConfigVersion m_configVersion;
+  ServiceId m_service;
 };
 
 struct Cell {
@@ -123,6 +132,8 @@
   std::vector<JobId> m_removed;           ///< Rows to delete from the store.
   std::vector<Order> m_orders;            ///< To be sent, in order.
   std::map<QueueId, uint32_t> m_pending;  ///< Jobs of which nothing started.
+  std::map<QueueId, QueueService> m_queueServices;  ///< By the newest
+                                                    ///< configuration.
   Millicores m_shortDemand;  ///< Cores that short tasks have or wait for.
   double m_shortPeak = 0.0;  ///< Fading peak of m_shortDemand, millicores.
   TimePoint m_shortPeakAt;   ///< When m_shortPeak was updated.
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -69,6 +69,23 @@
   return boost::outcome_v2::success();
 }
 
+void ApplyLiveConfig(Cell& aCell, const LiveConfig& aConfig) {
+  for (const QueueConfig& queue : aConfig.m_queues) {
+    QueueService& known = aCell.m_queueServices[queue.m_id];
+    if (known.m_configVersion >= aConfig.m_version) continue;
+    known = {aConfig.m_version, queue.m_policy.m_service};
+  }
+  aCell.m_capacityChanged = true;
+}
+
+const ServiceId& ServiceOf(const Cell& aCell, const JobSpec& aSpec) {
+  const auto found = aCell.m_queueServices.find(aSpec.m_queue);
+  const bool isNewer =
+      found != aCell.m_queueServices.end() &&
+      found->second.m_configVersion >= aSpec.m_policy.m_configVersion;
+  return isNewer ? found->second.m_service : aSpec.m_policy.m_service;
+}
+
 Result<StoredWhen> SubmitJob(Cell& aCell, JobSpec aSpec, TimePoint aNow,
                              UnixMillis aUnixNow) {
   const JobId id = aSpec.m_id;
--- a/src/core/sched/job_cmd.h
+++ b/src/core/sched/job_cmd.h
@@ -7,6 +7,7 @@
 
 #include "core/error/error_type.h"
 #include "core/sched/cell_base.h"
+#include "core/sched/live_config_type.h"
 
 namespace bronze::sched {
 
@@ -15,6 +16,15 @@
 /** A task takes up to 20 bytes of the job's row, which holds 64 KiB. */
 inline constexpr uint32_t kMaxTasksPerJob = 2000;
 
+/** Takes the pools of the queues from a configuration in force. Queues that it
+ *  does not name keep theirs, as jobs of theirs may still be open. */
+void ApplyLiveConfig(Cell& aCell, const LiveConfig& aConfig);
+
+/** @return the pool that runs the job: its queue's by the newest configuration
+ *          that is known, which may be the one that the job was accepted by. */
+[[nodiscard]] const ServiceId& ServiceOf(const Cell& aCell,
+                                         const JobSpec& aSpec);
+
 /** The job's version that has to be durable before the caller is answered. */
 struct StoredWhen {
   JobId m_job;
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -32,6 +32,7 @@
 
 /** What the configuration says of a queue; a job keeps it from acceptance. */
 struct QueuePolicy {
+  ConfigVersion m_configVersion;  ///< The configuration that says this.
   ServiceId m_service;
   int m_priority = 0;          ///< 0 comes first.
   uint32_t m_maxAttempts = 1;  ///< Failed runs after which a task has failed.
@@ -105,6 +106,7 @@
   uint64_t m_intentVersion = 0;  ///< Job version that holds the intent.
   TimePoint m_phaseSince;
   TimePoint m_stopOrderedAt;  ///< Of the last stop order.
+  TimePoint m_preemptedAt;    ///< When another task was last stopped for it.
   bool m_stopAnswered = false;
   std::string m_checkpoint;  ///< Empty: start from the beginning.
   int m_percent = 0;         ///< Progress, as the runner says.
--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -195,14 +195,6 @@
   return pace;
 }
 
-void MoveFill(Cell& aCell, RunnerIndex aIndex, const TaskKey& aKey,
-              const TaskPlace& aPlace, TimePoint aNow) {
-  aPlace.m_task->m_avoid = aIndex;
-  aPlace.m_task->m_phase = TaskPhase::Stopping;
-  aPlace.m_task->m_phaseSince = aNow;
-  OrderStop(aCell, aKey, *aPlace.m_task, aNow);
-}
-
 void OrderPace(Cell& aCell, RunnerIndex aIndex, const TaskKey& aKey,
                Task& aTask, int aPercent) {
   const bool atEnd = aPercent == 0 || aPercent == 100;
@@ -238,7 +230,8 @@
                               "pace={:.2f} over_ms={}",
                               TaskText(key), runner.m_entry.m_id.Value(),
                               runner.m_pressure, pace, overFor.count() / 1000));
-      MoveFill(aCell, aIndex, key, place, aNow);
+      place.m_task->m_avoid = aIndex;
+      StopTask(aCell, key, *place.m_task, aNow);
       continue;
     }
     const int percent = static_cast<int>(std::lround(pace * 100.0));
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -25,6 +25,8 @@
  *  runners stay free of images that a given fill harms. */
 constexpr double kPackWeight = 1.0;
 constexpr double kSameImageWeight = 0.5;
+/** A tenth of a rack more load outweighs a runner that is packed half full. */
+constexpr double kRackBalanceWeight = 5.0;
 /** Tasks that fill may ask for so much of the unused cores; what exceeds 1
  *  makes all of them slower. */
 constexpr double kFillOvercommit = 1.1;
@@ -49,7 +51,8 @@
               TimePoint aNow) {
   return aRunner.m_listed && aRunner.m_contacted &&
          !aRunner.m_entry.m_draining && aRunner.m_missedHolds == 0 &&
-         !aRunner.m_lapseStored && aRunner.m_quarantinedUntil <= aNow &&
+         !aRunner.m_lapseStored && !aRunner.m_hasUnknownRuns &&
+         aRunner.m_quarantinedUntil <= aNow &&
          aRunner.m_entry.m_service == aService;
 }
 
@@ -140,6 +143,17 @@
 
 }  // namespace
 
+bool Suits(const PlacementQuery& aQuery, const Runner& aRunner,
+           RunnerIndex aIndex) {
+  const StepSpec& step = *aQuery.m_step;
+  if (!step.m_requiredLabel.empty() &&
+      !HasLabel(aRunner, step.m_requiredLabel)) {
+    return false;
+  }
+  return step.m_antiAffinity == 0 ||
+         aQuery.m_sameStep(aIndex) < step.m_antiAffinity;
+}
+
 namespace {
 
 /** @return the count of the first reason against the runner; null: none. */
@@ -151,14 +165,7 @@
   if (!IsUsable(runner, aQuery.m_service, aNow)) return &aTally.m_unusable;
   if (IsProbed(aCell.m_settings, runner, aNow)) return &aTally.m_probed;
   if (!HasRoom(runner, step)) return &aTally.m_full;
-  if (!step.m_requiredLabel.empty() &&
-      !HasLabel(runner, step.m_requiredLabel)) {
-    return &aTally.m_unfit;
-  }
-  if (step.m_antiAffinity > 0 &&
-      aQuery.m_sameStep(aIndex) >= step.m_antiAffinity) {
-    return &aTally.m_unfit;
-  }
+  if (!Suits(aQuery, runner, aIndex)) return &aTally.m_unfit;
   if (!step.m_fills) return nullptr;
   if (!HasUnusedCores(aCell.m_settings, runner, step)) return &aTally.m_busy;
   const FillEffect effect = PredictFill(aCell, runner, step);
@@ -171,6 +178,29 @@
 
 }  // namespace
 
+RackLoads LoadsOfRacks(const Cell& aCell, const ServiceId& aService) {
+  RackLoads loads;
+  for (const Runner& runner : aCell.m_runners) {
+    if (!runner.m_listed || runner.m_entry.m_service != aService) continue;
+    RackLoad& load = loads[runner.m_rack];
+    load.m_serving += runner.m_servingCores;
+    load.m_capacity += runner.m_entry.m_capacity.m_cores;
+  }
+  return loads;
+}
+
+namespace {
+
+double RackShare(const PlacementQuery& aQuery, const Runner& aRunner) {
+  if (aQuery.m_rackLoads == nullptr) return 0.0;
+  const auto found = aQuery.m_rackLoads->find(aRunner.m_rack);
+  if (found == aQuery.m_rackLoads->end()) return 0.0;
+  return Cores(found->second.m_serving) /
+         std::max(1.0, Cores(found->second.m_capacity));
+}
+
+}  // namespace
+
 RunnerIndex ChooseRunner(const Cell& aCell, const PlacementQuery& aQuery,
                          TimePoint aNow) {
   RunnerIndex best;
@@ -185,8 +215,9 @@
       continue;
     }
     const Runner& runner = aCell.m_runners[at];
-    double score =
-        Score(aCell.m_settings, runner, *aQuery.m_step) - kHarmWeight * harm;
+    double score = Score(aCell.m_settings, runner, *aQuery.m_step) -
+                   kHarmWeight * harm -
+                   kRackBalanceWeight * RackShare(aQuery, runner);
     if (!aQuery.m_rack.empty() && runner.m_rack == aQuery.m_rack) {
       score += kRackBonus;
     }
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -7,6 +7,8 @@
 #define BRONZE_CORE_SCHED_PLACEMENT_FUNC_H_
 
 #include <functional>
+#include <map>
+#include <string>
 
 #include "core/sched/cell_base.h"
 
@@ -42,6 +44,17 @@
   uint32_t m_unfit = 0;     ///< Label or anti-affinity.
 };
 
+/** Declared cores of the tasks that last on a rack, and its capacity. */
+struct RackLoad {
+  Millicores m_serving;
+  Millicores m_capacity;
+};
+using RackLoads = std::map<std::string, RackLoad>;
+
+/** @return the load of each rack over its listed runners of the pool. */
+[[nodiscard]] RackLoads LoadsOfRacks(const Cell& aCell,
+                                     const ServiceId& aService);
+
 /** What one search needs beside the runners. */
 struct PlacementQuery {
   const StepSpec* m_step = nullptr;
@@ -51,8 +64,15 @@
   /** Tasks of the same step on that runner, for anti-affinity. */
   std::function<uint32_t(RunnerIndex)> m_sameStep;
   PlacementTally* m_tally = nullptr;  ///< Filled if it is set.
+  /** Set for tasks that last: racks with a lower load are preferred, so that
+   *  each keeps room for tasks whose data is there. */
+  const RackLoads* m_rackLoads = nullptr;
 };
 
+/** Whether the step's label and anti-affinity allow the runner. */
+[[nodiscard]] bool Suits(const PlacementQuery& aQuery, const Runner& aRunner,
+                         RunnerIndex aIndex);
+
 /** @return the best runner; invalid when none has room. */
 [[nodiscard]] RunnerIndex ChooseRunner(const Cell& aCell,
                                        const PlacementQuery& aQuery,
--- /dev/null
+++ b/src/core/sched/preemption_cmd.cpp
@@ -0,0 +1,93 @@
+/**
+ * @file preemption_cmd.cpp Stops a less urgent task so that a more urgent one
+ * finds room.
+ */
+
+#include "core/sched/preemption_cmd.h"
+
+#include <fmt/format.h>
+
+namespace bronze::sched {
+
+namespace {
+
+/** Short tasks end every few hundred milliseconds and leave room by
+ *  themselves. */
+constexpr Duration kPreemptAfter = milliseconds(250);
+/** A stop takes up to 400 ms and its end has to be listed. */
+constexpr Duration kPreemptPause = seconds(1);
+/** Share of the work since the start that a task with checkpoints loses. */
+constexpr double kLostWithCheckpoints = 0.3;
+
+struct Victim {
+  TaskKey m_key;
+  double m_lostWork = 0.0;  ///< Millicores times microseconds.
+  bool m_found = false;
+};
+
+/** What the task takes from its runner's capacity. */
+Resources TakenBy(const StepSpec& aStep) {
+  Resources taken = aStep.m_need;
+  if (aStep.m_fills) taken.m_cores = Millicores();
+  return taken;
+}
+
+bool MayBeStopped(const TaskPlace& aVictim, int aPriority) {
+  return aVictim.m_task != nullptr &&
+         aVictim.m_job->m_spec.m_policy.m_priority > aPriority &&
+         aVictim.m_task->m_phase == TaskPhase::Running &&
+         !aVictim.m_step->m_longRunning && !aVictim.m_step->m_gang;
+}
+
+double LostWork(const TaskPlace& aVictim, TimePoint aNow) {
+  const double lost =
+      aVictim.m_step->m_savesProgress ? kLostWithCheckpoints : 1;
+  return lost *
+         static_cast<double>((aNow - aVictim.m_task->m_phaseSince).count()) *
+         static_cast<double>(aVictim.m_step->m_need.m_cores.Value());
+}
+
+/** Compares the tasks of one runner with the best victim so far. */
+void ConsiderRunner(Cell& aCell, const Runner& aRunner, const StepSpec& aStep,
+                    int aPriority, TimePoint aNow, Victim& aBest) {
+  Resources used = aRunner.m_reserved;
+  used.m_memory += aRunner.m_fillMemory;
+  for (const TaskKey& key : aRunner.m_tasks) {
+    const TaskPlace victim = FindTask(aCell, key);
+    if (!MayBeStopped(victim, aPriority)) continue;
+    Resources after = used + TakenBy(aStep);
+    after -= TakenBy(*victim.m_step);
+    if (!Fits(after, aRunner.m_entry.m_capacity)) continue;
+    const double lost = LostWork(victim, aNow);
+    if (aBest.m_found && lost >= aBest.m_lostWork) continue;
+    aBest = {key, lost, true};
+  }
+}
+
+}  // namespace
+
+bool PreemptFor(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+                const PlacementQuery& aQuery, TimePoint aNow) {
+  Task& task = *aPlace.m_task;
+  if (aNow - task.m_phaseSince < kPreemptAfter) return false;
+  if (aNow - task.m_preemptedAt < kPreemptPause) return false;
+  const int priority = aPlace.m_job->m_spec.m_policy.m_priority;
+  Victim victim;
+  for (uint32_t at = 0; at < aCell.m_runners.size(); ++at) {
+    const Runner& runner = aCell.m_runners[at];
+    if (!IsUsable(runner, aQuery.m_service, aNow)) continue;
+    if (!Suits(aQuery, runner, RunnerIndex(at))) continue;
+    ConsiderRunner(aCell, runner, *aPlace.m_step, priority, aNow, victim);
+  }
+  if (!victim.m_found) return false;
+  task.m_preemptedAt = aNow;
+  const TaskPlace stopped = FindTask(aCell, victim.m_key);
+  ++aCell.m_counts.m_preemptions;
+  LogDecision(aCell,
+              fmt::format("preempts task={} for={} priority={}",
+                          TaskText(victim.m_key), TaskText(aKey), priority));
+  StopTask(aCell, victim.m_key, *stopped.m_task, aNow);
+  return true;
+}
+
+}  // namespace bronze::sched
--- /dev/null
+++ b/src/core/sched/preemption_cmd.h
@@ -0,0 +1,26 @@
+/**
+ * @file preemption_cmd.h Stops a less urgent task so that a more urgent one
+ * finds room.
+ */
+
+#ifndef BRONZE_CORE_SCHED_PREEMPTION_CMD_H_
+#define BRONZE_CORE_SCHED_PREEMPTION_CMD_H_
+
+#include "core/sched/placement_func.h"
+#include "core/sched/task_internal.h"
+
+namespace bronze::sched {
+
+/**
+ * Stops the task with the least work to lose among those whose end alone makes
+ * room for the given one. One task is stopped for each that waits, at most once
+ * a second.
+ * @pre No runner has room for the task.
+ * @return whether a stop was ordered.
+ */
+bool PreemptFor(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+                const PlacementQuery& aQuery, TimePoint aNow);
+
+}  // namespace bronze::sched
+
+#endif  // BRONZE_CORE_SCHED_PREEMPTION_CMD_H_
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -91,6 +91,7 @@
   aRunner.m_slowness = 1.0;
   aRunner.m_pressure = 0.0;
   aRunner.m_over = false;
+  aRunner.m_hasUnknownRuns = false;
   aRunner.m_serving.clear();
   aRunner.m_nextHoldAt = aNow;
 }
@@ -143,7 +144,7 @@
   Runner& runner = aCell.m_runners[aRunner.Value()];
   if (runner.m_holdPending || runner.m_entry.m_address.empty()) return {};
   if (aNow < runner.m_nextHoldAt) return {};
-  const bool hasWork = !runner.m_tasks.empty() ||
+  const bool hasWork = !runner.m_tasks.empty() || runner.m_hasUnknownRuns ||
                        !runner.m_unstoredEnds.empty() ||
                        runner.m_storedEnd > runner.m_toldEnd;
   // The first contact raises the fencing token there, so that orders of an
@@ -183,7 +184,7 @@
                  (place.m_task->m_phase == TaskPhase::Unsure ||
                   place.m_task->m_phase == TaskPhase::Recovering);
         });
-    const bool idle = runner.m_tasks.empty();
+    const bool idle = runner.m_tasks.empty() && !runner.m_hasUnknownRuns;
     if (unsure || idle || runner.m_missedHolds > 0) {
       order.m_wait = Duration::zero();
     }
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -58,6 +58,20 @@
                                  aRunner.m_quarantineCount));
 }
 
+/** Failed runs of the task, or of the whole gang: its members share a run and
+ *  fail together. */
+uint32_t FailuresTowardsLimit(Cell& aCell, const TaskKey& aKey,
+                              const TaskPlace& aPlace) {
+  if (!aPlace.m_step->m_gang) return FailureCount(*aPlace.m_task);
+  uint64_t runs = 0;
+  for (uint32_t index = 0; index < aPlace.m_step->m_count; ++index) {
+    TaskKey key = aKey;
+    key.m_index = index;
+    runs |= FindTask(aCell, key).m_task->m_failedRuns;
+  }
+  return static_cast<uint32_t>(std::popcount(runs));
+}
+
 void FailTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
               const EndRow& aEnd, Runner& aRunner, TimePoint aNow) {
   Task& task = *aPlace.m_task;
@@ -76,9 +90,10 @@
     Requeue(aCell, aKey, aPlace, aNow);
   }
   if (aPlace.m_step->m_longRunning) return;
-  if (FailureCount(task) >= aPlace.m_job->m_spec.m_policy.m_maxAttempts) {
+  const uint32_t failures = FailuresTowardsLimit(aCell, aKey, aPlace);
+  if (failures >= aPlace.m_job->m_spec.m_policy.m_maxAttempts) {
     LogDecision(aCell, fmt::format("job failed task={} failures={}",
-                                   TaskText(aKey), FailureCount(task)));
+                                   TaskText(aKey), failures));
     EndJob(aCell, *aPlace.m_job, JobPhase::Failed, aNow);
   }
 }
@@ -157,6 +172,7 @@
     // of a task that has ended since.
     ++aCell.m_counts.m_stops;
     aCell.m_orders.emplace_back(StopOrder{aRow.m_task, aRow.m_run, aIndex});
+    aCell.m_runners[aIndex.Value()].m_hasUnknownRuns = true;
     return;
   }
   Task& task = *place.m_task;
@@ -229,9 +245,7 @@
                             TaskText(key), task.m_run.Value(),
                             aRunner.m_entry.m_id.Value(), task.m_percent));
     task.m_avoid = task.m_runner;
-    task.m_phase = TaskPhase::Stopping;
-    task.m_phaseSince = aNow;
-    OrderStop(aCell, key, task, aNow);
+    StopTask(aCell, key, task, aNow);
     Quarantine(aCell, aRunner, aNow, "stall");
   }
 }
@@ -283,6 +297,8 @@
     runner.m_readEnd = end.m_number;
     ApplyEnd(aCell, aRunner, end, aNow);
   }
+  if (runner.m_hasUnknownRuns) aCell.m_capacityChanged = true;
+  runner.m_hasUnknownRuns = false;
   for (const RunningRow& row : aReport.m_running) {
     ApplyRunning(aCell, aRunner, row, aNow);
   }
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -104,6 +104,9 @@
   Millicores m_fillDemand;       ///< Declared cores of tasks that fill.
   Millicores m_servingCores;     ///< Declared cores of tasks that last.
   std::vector<TaskKey> m_tasks;  ///< Intended up to Stopping.
+  /** The last list held runs that no stored intent asks for. Their need is not
+   *  in m_reserved, so nothing is placed there until they are gone. */
+  bool m_hasUnknownRuns = false;
 
   uint32_t m_failuresInRow = 0;
   uint32_t m_quarantineCount = 0;
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -9,7 +9,9 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/sched/job_cmd.h"
 #include "core/sched/placement_func.h"
+#include "core/sched/preemption_cmd.h"
 #include "core/sched/task_internal.h"
 
 namespace bronze::sched {
@@ -51,7 +53,7 @@
                         const Job& aJob, const StepSpec& aStep) {
   PlacementQuery query;
   query.m_step = &aStep;
-  query.m_service = aJob.m_spec.m_policy.m_service;
+  query.m_service = ServiceOf(aCell, aJob.m_spec);
   query.m_rack = aStep.m_affinityRack;
   query.m_sameStep = [&aCell, &aKey](RunnerIndex aRunner) {
     return TasksOfStepOn(aCell, aKey, aRunner);
@@ -138,21 +140,51 @@
 }
 
 /** Says why a task waits; one line a second, for the first in the queue. */
-void LogWait(Cell& aCell, const TaskKey& aKey, const Task& aTask,
+void LogWait(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
              const PlacementTally& aTally, TimePoint aNow) {
   constexpr Duration kWorthALine = seconds(1);
   constexpr Duration kBetweenLines = seconds(1);
-  if (aNow - aTask.m_phaseSince < kWorthALine) return;
+  const Duration waited = aNow - aPlace.m_task->m_phaseSince;
+  if (waited < kWorthALine) return;
   if (aNow - aCell.m_waitLoggedAt < kBetweenLines) return;
   aCell.m_waitLoggedAt = aNow;
   LogDecision(
       aCell,
-      fmt::format("waits task={} for_ms={} runners={} unusable={} probed={} "
-                  "full={} busy={} harmed={} unfit={}",
-                  TaskText(aKey), (aNow - aTask.m_phaseSince).count() / 1000,
-                  aCell.m_runners.size(), aTally.m_unusable, aTally.m_probed,
-                  aTally.m_full, aTally.m_busy, aTally.m_harmed,
-                  aTally.m_unfit));
+      fmt::format("waits task={} for_ms={} priority={} cores={} memory={} "
+                  "label={} runners={} unusable={} probed={} full={} busy={} "
+                  "harmed={} unfit={}",
+                  TaskText(aKey), waited.count() / 1000,
+                  aPlace.m_job->m_spec.m_policy.m_priority,
+                  aPlace.m_step->m_need.m_cores.Value(),
+                  aPlace.m_step->m_need.m_memory.Value(),
+                  aPlace.m_step->m_requiredLabel, aCell.m_runners.size(),
+                  aTally.m_unusable, aTally.m_probed, aTally.m_full,
+                  aTally.m_busy, aTally.m_harmed, aTally.m_unfit));
+}
+
+/** Whether the task should wait for a place on the rack of its data instead of
+ *  taking one elsewhere, where it runs several times as long. */
+bool WaitsForRack(const Cell& aCell, const PlacementQuery& aQuery,
+                  const TaskPlace& aPlace, RunnerIndex aElsewhere,
+                  TimePoint aNow) {
+  // Half of what is lost elsewhere: on average the wait pays then.
+  constexpr double kPatience = 0.5;
+  // A task that has a place may not be left waiting for more than 3 s.
+  constexpr Duration kLongestWait = milliseconds(1500);
+  const StepSpec& step = *aPlace.m_step;
+  if (aQuery.m_rack.empty() || step.m_longRunning) return false;
+  if (aCell.m_runners[aElsewhere.Value()].m_rack == aQuery.m_rack) return false;
+  const double lost = static_cast<double>(step.m_estimate.count()) *
+                      (aCell.m_settings.m_spreadFactor - 1.0);
+  const Duration patience =
+      std::min(kLongestWait, Duration(static_cast<int64_t>(lost * kPatience)));
+  if (aNow - aPlace.m_task->m_phaseSince >= patience) return false;
+  return std::any_of(aCell.m_runners.begin(), aCell.m_runners.end(),
+                     [&](const Runner& aRunner) {
+                       return aRunner.m_rack == aQuery.m_rack &&
+                              IsUsable(aRunner, aQuery.m_service, aNow) &&
+                              Fits(step.m_need, aRunner.m_entry.m_capacity);
+                     });
 }
 
 StepResult PlaceStep(Cell& aCell, const QueueKey& aKey, TimePoint aNow) {
@@ -163,6 +195,11 @@
   if (step.m_sameRack) query.m_rack = RackOfStep(aCell, job, aKey);
   PlacementTally tally;
   query.m_tally = &tally;
+  RackLoads racks;
+  if (step.m_longRunning) {
+    racks = LoadsOfRacks(aCell, query.m_service);
+    query.m_rackLoads = &racks;
+  }
   bool any = false;
   for (uint32_t index = 0; index < step.m_count; ++index) {
     const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
@@ -174,14 +211,22 @@
     }
     query.m_avoid = place.m_task->m_avoid;
     const RunnerIndex runner = ChooseRunner(aCell, query, aNow);
+    if (runner.IsValid() && WaitsForRack(aCell, query, place, runner, aNow)) {
+      return any ? StepResult::SomeLeft : StepResult::NonePlaced;
+    }
     if (!runner.IsValid()) {
-      LogWait(aCell, key, *place.m_task, tally, aNow);
+      if (tally.m_full > 0) PreemptFor(aCell, key, place, query, aNow);
+      LogWait(aCell, key, place, tally, aNow);
       return any ? StepResult::SomeLeft : StepResult::NonePlaced;
     }
     if (step.m_sameRack && query.m_rack.empty()) {
       query.m_rack = aCell.m_runners[runner.Value()].m_rack;
     }
     Intend(aCell, key, place, runner, place.m_task->m_run.Next(), aNow);
+    if (step.m_longRunning) {
+      racks[aCell.m_runners[runner.Value()].m_rack].m_serving +=
+          step.m_need.m_cores;
+    }
     any = true;
   }
   return StepResult::AllPlaced;
@@ -261,7 +306,7 @@
         }
         const TaskKey key{aJob, number, step, i};
         const Runner& runner = aCell.m_runners[task.m_runner.Value()];
-        if (!IsUsable(runner, job.m_spec.m_policy.m_service, aNow)) {
+        if (!IsUsable(runner, ServiceOf(aCell, job.m_spec), aNow)) {
           Requeue(aCell, key, FindTask(aCell, key), aNow);
           continue;
         }
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -89,6 +89,40 @@
   if (aStep.m_longRunning) runner.m_servingCores -= aStep.m_need.m_cores;
 }
 
+namespace {
+
+/** A member of a gang has lost its run, so the others cannot go on: they are
+ *  stopped before they would end as alone. */
+void StopOtherMembers(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+                      TimePoint aNow) {
+  for (uint32_t index = 0; index < aPlace.m_step->m_count; ++index) {
+    if (index == aKey.m_index) continue;
+    TaskKey key = aKey;
+    key.m_index = index;
+    Task& member = *FindTask(aCell, key).m_task;
+    switch (member.m_phase) {
+      case TaskPhase::Intended:
+        Release(aCell, key, *aPlace.m_step, member);
+        member.m_phase = TaskPhase::Ready;
+        member.m_phaseSince = aNow;
+        break;
+      case TaskPhase::Starting:
+      case TaskPhase::Running:
+      case TaskPhase::Unsure:
+      case TaskPhase::Recovering:
+        StopTask(aCell, key, member, aNow);
+        break;
+      case TaskPhase::Blocked:
+      case TaskPhase::Ready:
+      case TaskPhase::Stopping:
+      case TaskPhase::Done:
+        break;
+    }
+  }
+}
+
+}  // namespace
+
 void Requeue(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
              TimePoint aNow) {
   Task& task = *aPlace.m_task;
@@ -103,6 +137,7 @@
   aCell.m_queue.insert(
       QueueKeyOf(*aPlace.m_job, aKey.m_occurrence, aKey.m_step));
   aCell.m_capacityChanged = true;
+  if (aPlace.m_step->m_gang) StopOtherMembers(aCell, aKey, aPlace, aNow);
 }
 
 bool PredecessorsDone(const StepSpec& aStep, const Occurrence& aOccurrence) {
@@ -173,6 +208,12 @@
   aCell.m_orders.emplace_back(StopOrder{aKey, aTask.m_run, aTask.m_runner});
 }
 
+void StopTask(Cell& aCell, const TaskKey& aKey, Task& aTask, TimePoint aNow) {
+  aTask.m_phase = TaskPhase::Stopping;
+  aTask.m_phaseSince = aNow;
+  OrderStop(aCell, aKey, aTask, aNow);
+}
+
 namespace {
 
 /** Ends the task of a job that is no longer active. */
@@ -192,9 +233,7 @@
     case TaskPhase::Running:
     case TaskPhase::Unsure:
     case TaskPhase::Recovering:
-      task.m_phase = TaskPhase::Stopping;
-      task.m_phaseSince = aNow;
-      OrderStop(aCell, aKey, task, aNow);
+      StopTask(aCell, aKey, task, aNow);
       return;
     case TaskPhase::Stopping:
     case TaskPhase::Done:
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -57,6 +57,9 @@
 /** Orders a stop of the current run. */
 void OrderStop(Cell& aCell, const TaskKey& aKey, Task& aTask, TimePoint aNow);
 
+/** Ends the current run: the task waits in Stopping until the end is listed. */
+void StopTask(Cell& aCell, const TaskKey& aKey, Task& aTask, TimePoint aNow);
+
 /** The job leaves Active: its tasks are stopped or dropped. */
 void EndJob(Cell& aCell, Job& aJob, JobPhase aPhase, TimePoint aNow);
 
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -102,6 +102,7 @@
   config.m_grace = aReader.Seconds({"bounds", "grace_s"}, kDefaultGraceSeconds);
   config.m_maxLease =
       aReader.Millis({"bounds", "max_hold_ms"}, kDefaultMaxLeaseMs);
+  config.m_spreadFactor = aReader.Get({"bounds", "spread_factor"}, 1.0, false);
   config.m_statusRetention =
       aReader.Seconds({"bounds", "status_s"}, kDefaultStatusSeconds);
   return config;
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -24,6 +24,7 @@
   double m_cpuShare = 1.0;       ///< Of one core.
   Duration m_grace{};            ///< From SIGTERM to SIGKILL.
   Duration m_maxLease{};         ///< A runner shortens longer leases.
+  double m_spreadFactor = 1.0;   ///< Run time away from the data's rack.
   Duration m_statusRetention{};  ///< Ended jobs stay known this long.
 };
 
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -150,6 +150,7 @@
     for (const json::value& value : *routes) {
       auto queue = ReadQueue(value);
       if (queue) {
+        queue.value().m_policy.m_configVersion = config.m_version;
         config.m_queues.push_back(std::move(queue.value()));
       } else {
         aProblems.push_back(queue.error().m_message);
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -140,6 +140,11 @@
   SchedulePump();
 }
 
+void CellOwner::SetConfig(const sched::LiveConfig& aConfig) {
+  sched::ApplyLiveConfig(m_cell, aConfig);
+  SchedulePump();
+}
+
 void CellOwner::RestoreSilent() {
   for (const SilentRow& row : m_ownerRow.m_silent) {
     const auto lapsesAt = m_store.LocalTimeAtMost(row.m_lapsesAt);
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -48,6 +48,9 @@
   /** Loads the stored jobs, then begins to act. */
   void Start();
 
+  /** A configuration is in force on this VM. */
+  void SetConfig(const sched::LiveConfig& aConfig);
+
   /** Answers the call; at once or when what it needs is durable. */
   void Handle(PeerCall aCall, AnswerHandler aHandler);
 
--- a/src/scheduler/cell_seat.cpp
+++ b/src/scheduler/cell_seat.cpp
@@ -37,6 +37,11 @@
 
 void CellSeat::Start() { Poll(); }
 
+void CellSeat::SetConfig(std::shared_ptr<const sched::LiveConfig> aConfig) {
+  m_config = std::move(aConfig);
+  if (m_owner) m_owner->SetConfig(*m_config);
+}
+
 std::shared_ptr<CellOwner> CellSeat::LocalOwner() const {
   return m_owner && m_owner->IsActing() ? m_owner : nullptr;
 }
@@ -161,6 +166,7 @@
                                           self->m_everPolled = false;
                                           self->Poll();
                                         });
+  if (m_config) m_owner->SetConfig(*m_config);
   m_owner->Start();
 }
 
--- a/src/scheduler/cell_seat.h
+++ b/src/scheduler/cell_seat.h
@@ -34,6 +34,9 @@
 
   void Start();
 
+  /** The configuration in force on this VM; an owner is told of it. */
+  void SetConfig(std::shared_ptr<const sched::LiveConfig> aConfig);
+
   /** @return the owner if it is this daemon and acts; else null. */
   [[nodiscard]] std::shared_ptr<CellOwner> LocalOwner() const;
 
@@ -68,6 +71,7 @@
   bool m_everPolled = false;
   bool m_handingOver = false;
   std::shared_ptr<CellOwner> m_owner;
+  std::shared_ptr<const sched::LiveConfig> m_config;  ///< Null: none yet.
 };
 
 }  // namespace bronze
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -58,6 +58,7 @@
   // Shorter than the longest lease, so that what ran on a lost runner is
   // started elsewhere earlier; long enough to outlast a takeover.
   settings.m_lease = aConfig.m_maxLease * kLeasePercent / 100;
+  settings.m_spreadFactor = aConfig.m_spreadFactor;
   settings.m_statusRetention = aConfig.m_statusRetention + seconds(30);
   return settings;
 }
@@ -130,8 +131,9 @@
       std::make_shared<const sched::LiveConfig>(std::move(config.value()));
   {
     const std::lock_guard<std::mutex> lock(m_configMutex);
-    m_liveConfig = std::move(shared);
+    m_liveConfig = shared;
   }
+  for (const auto& seat : m_seats) seat->SetConfig(shared);
   if (!m_draining) m_ready = true;
   m_log.Flush();
 }
@@ -331,6 +333,7 @@
   AppendCount(aText, "runners_lapsed_total", counts.m_lapsedRunners);
   AppendCount(aText, "tasks_stalled_total", counts.m_stalledTasks);
   AppendCount(aText, "quarantines_total", counts.m_quarantines);
+  AppendCount(aText, "preemptions_total", counts.m_preemptions);
   AppendCount(aText, "queued_steps", aCell.m_queue.size());
   for (size_t kind = 0; kind < std::size(kEnds); ++kind) {
     AppendCount(aText,
--- /dev/null
+++ b/tests/core/sched/urgency_test.cpp
@@ -0,0 +1,211 @@
+/**
+ * @file urgency_test.cpp Gangs that lose a member, preemption, racks of data,
+ * and queues that move to another pool.
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "cell_fixture.h"
+#include "core/sched/placement_func.h"
+
+namespace bronze::sched {
+
+namespace {
+
+JobSpec LessUrgent(uint64_t aId, uint32_t aTasks) {
+  JobSpec spec = CellFixture::Spec(aId, aTasks);
+  spec.m_policy.m_priority = 2;
+  return spec;
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UrgencySuite, CellFixture)
+
+/** Guards against members of a gang that wait for one whose start was refused,
+ *  until they end as alone. */
+BOOST_AUTO_TEST_CASE(RefusedMemberStopsItsGang) {
+  AddRunner("a", 8000);
+  AddRunner("b", 8000);
+  JobSpec spec = Spec(1, 3);
+  spec.m_steps[0].m_gang = true;
+  Submit(std::move(spec));
+  PlaceTasks(m_cell, m_now);
+  CommitAll();
+  const auto starts = Take<StartOrder>();
+  BOOST_REQUIRE_EQUAL(starts.size(), 3U);
+  ApplyStartAnswer(m_cell, starts[0], OrderOutcome::Applied, m_now);
+  ApplyStartAnswer(m_cell, starts[1], OrderOutcome::RefusedRoom, m_now);
+  const auto stops = Take<StopOrder>();
+  BOOST_TEST(stops.size() == 2U);
+  BOOST_TEST((TaskOf(1, 0).m_phase == TaskPhase::Stopping));
+  BOOST_TEST((TaskOf(1, 2).m_phase == TaskPhase::Stopping));
+  // The members start again together, with a run that none has had.
+  for (const StopOrder& stop : stops) {
+    ApplyStopAnswer(m_cell, stop, OrderOutcome::Applied, m_now);
+  }
+  Pass(milliseconds(500));
+  for (uint32_t runner = 0; runner < 2; ++runner) {
+    Report(RunnerIndex(runner), {}, {});
+  }
+  const auto again = StartAll();
+  BOOST_REQUIRE_EQUAL(again.size(), 3U);
+  for (const StartOrder& start : again) BOOST_TEST(start.m_run.Value() == 2U);
+}
+
+/** Guards against a gang that is started without end because each time another
+ *  of its members fails. */
+BOOST_AUTO_TEST_CASE(GangFailsAsOne) {
+  const RunnerIndex runner = AddRunner("a");
+  JobSpec spec = Spec(1, 3);
+  spec.m_steps[0].m_gang = true;
+  Submit(std::move(spec));
+  uint64_t number = 0;
+  for (uint32_t run = 1; run <= 3; ++run) {
+    Pass(seconds(20));
+    BOOST_REQUIRE_EQUAL(StartAll().size(), 3U);
+    std::vector<EndRow> ends;
+    for (uint32_t index = 0; index < 3; ++index) {
+      const EndKind kind = index == run - 1 ? EndKind::Failed : EndKind::Broken;
+      ends.push_back({EndNumber(++number),
+                      {JobId(1), 0, 0, index},
+                      RunNumber(run),
+                      kind,
+                      ""});
+    }
+    Report(runner, {}, ends);
+  }
+  CommitAll();
+  BOOST_TEST((LookUpJob(m_cell, JobId(1)).value() == JobState::Failed));
+}
+
+/** Guards against urgent work that waits behind batch work, and against more
+ *  than one task stopped for it. */
+BOOST_AUTO_TEST_CASE(UrgentTaskStopsOneLessUrgent) {
+  const RunnerIndex runner = AddRunner("a", 8000);
+  Submit(LessUrgent(1, 2));
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 2U);
+  Submit(Spec(2, 1));
+  BOOST_TEST(StartAll().empty());
+  Pass(milliseconds(300));
+  m_cell.m_capacityChanged = true;
+  PlaceTasks(m_cell, m_now);
+  const auto stops = Take<StopOrder>();
+  BOOST_REQUIRE_EQUAL(stops.size(), 1U);
+  m_cell.m_capacityChanged = true;
+  PlaceTasks(m_cell, m_now);
+  BOOST_TEST(Take<StopOrder>().empty());
+  const uint32_t left = 1 - stops[0].m_task.m_index;
+  Report(runner, {{{JobId(1), 0, 0, left}, RunNumber(1), "", 50, 0}},
+         {{EndNumber(1), stops[0].m_task, RunNumber(1), EndKind::Stopped,
+           "half"}});
+  const auto starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  BOOST_TEST((starts[0].m_task.m_job == JobId(2)));
+  BOOST_TEST(TaskOf(1, stops[0].m_task.m_index).m_checkpoint == "half");
+}
+
+/** Guards against stopping work that is as urgent, that lasts, or whose end
+ *  makes no room. */
+BOOST_AUTO_TEST_CASE(OnlyAUsefulVictimIsStopped) {
+  AddRunner("a", 8000);
+  JobSpec lasting = LessUrgent(1, 1);
+  lasting.m_steps[0].m_longRunning = true;
+  Submit(std::move(lasting));
+  Submit(Spec(2, 1));
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 2U);
+  Submit(Spec(3, 1));
+  Pass(milliseconds(500));
+  m_cell.m_capacityChanged = true;
+  PlaceTasks(m_cell, m_now);
+  BOOST_TEST(Take<StopOrder>().empty());
+}
+
+/** Guards against short work that runs several times as long on another rack
+ *  although its own has room a moment later. */
+BOOST_AUTO_TEST_CASE(ShortTaskWaitsForItsRack) {
+  m_cell.m_settings.m_spreadFactor = 3.0;
+  const RunnerIndex near = AddRunner("near", 4000, "r1");
+  AddRunner("far", 64000, "r2");
+  Submit(Spec(1, 1));
+  JobSpec spec = Spec(2, 1);
+  spec.m_steps[0].m_affinityRack = "r1";
+  m_cell.m_runners[1].m_quarantinedUntil = m_now + milliseconds(1);
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 1U);
+  Submit(spec);
+  Pass(milliseconds(100));
+  BOOST_TEST(StartAll().empty());
+  Report(
+      near, {},
+      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  auto starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  BOOST_TEST((starts[0].m_runner == near));
+  // A wait that would cost more than the longer run ends elsewhere.
+  spec.m_id = JobId(3);
+  Submit(spec);
+  BOOST_TEST(StartAll().empty());
+  Pass(milliseconds(900));
+  m_cell.m_capacityChanged = true;
+  starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  BOOST_TEST((starts[0].m_runner != near));
+}
+
+/** Guards against one rack full of tasks that last beside empty ones: work
+ *  whose data is there would always run elsewhere. */
+BOOST_AUTO_TEST_CASE(TasksThatLastAreSpreadOverRacks) {
+  for (const std::string rack : {"r1", "r2"}) {
+    for (const std::string name : {"a", "b", "c"}) {
+      AddRunner(rack + name, 64000, rack);
+    }
+  }
+  JobSpec spec = Spec(1, 12);
+  spec.m_steps[0].m_longRunning = true;
+  Submit(std::move(spec));
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 12U);
+  const RackLoads loads = LoadsOfRacks(m_cell, ServiceId("pool"));
+  const int64_t difference =
+      loads.at("r1").m_serving.Value() - loads.at("r2").m_serving.Value();
+  BOOST_TEST(std::abs(difference) <= 16000);
+}
+
+/** Guards against jobs that wait for ever because their queue has moved to
+ *  another pool and the old one is gone, and against a VM that has not seen the
+ *  new configuration yet and uses the old pool for a new job. */
+BOOST_AUTO_TEST_CASE(JobFollowsItsQueueToAnotherPool) {
+  LiveConfig config;
+  config.m_version = ConfigVersion(4);
+  QueueConfig queue;
+  queue.m_id = QueueId("queue");
+  queue.m_policy.m_service = ServiceId("pool");
+  config.m_queues.push_back(queue);
+  JobSpec old = Spec(1);
+  old.m_policy.m_service = ServiceId("gone");
+  old.m_policy.m_configVersion = ConfigVersion(3);
+  AddRunner("a");
+  Submit(std::move(old));
+  BOOST_TEST(StartAll().empty());
+  ApplyLiveConfig(m_cell, config);
+  BOOST_TEST(StartAll().size() == 1U);
+  JobSpec newer = Spec(2);
+  newer.m_policy.m_service = ServiceId("next");
+  newer.m_policy.m_configVersion = ConfigVersion(5);
+  Submit(std::move(newer));
+  BOOST_TEST(StartAll().empty());
+}
+
+/** Guards against room that is given away twice: a run that no intent asks for
+ *  still takes its share of a runner that does not guard its capacity. */
+BOOST_AUTO_TEST_CASE(NothingIsPlacedBesideAnUnknownRun) {
+  const RunnerIndex runner = AddRunner("a", 8000);
+  Report(runner, {{{JobId(9), 0, 0, 0}, RunNumber(4), "", 1, 0}}, {});
+  Submit(Spec(1, 1));
+  BOOST_TEST(StartAll().empty());
+  Report(runner, {}, {});
+  BOOST_TEST(StartAll().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bronze::sched
