sched: a pass over the queue remembers what found no room; gangs may be preempted

Cause: a pass ended after 48 steps without a place, so as many hopeless ones (labels that no runner has, tasks larger than any runner) hid every step behind them. A gang of less urgent work could not be stopped for urgent work.

Tests: ManyHopelessStepsHideNoOther, GangIsStoppedWhole.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -55,8 +55,8 @@
   double m_paceMargin = 0.04;
   /** How many times as long a task takes away from the rack of its data. */
   double m_spreadFactor = 1.0;
-  /** Steps of the queue looked at in one pass without finding a place. */
-  uint32_t m_maxMisses = 48;
+  /** Searches of one pass over the queue that find no place. */
+  uint32_t m_maxMisses = 64;
   uint32_t m_maxOpenJobs = 20000;  ///< More are refused.
 };
 
--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -231,7 +231,7 @@
                               TaskText(key), runner.m_entry.m_id.Value(),
                               runner.m_pressure, pace, overFor.count() / 1000));
       place.m_task->m_avoid = aIndex;
-      StopTask(aCell, key, *place.m_task, aNow);
+      StopRun(aCell, key, place, aNow);
       continue;
     }
     const int percent = static_cast<int>(std::lround(pace * 100.0));
--- a/src/core/sched/preemption_cmd.cpp
+++ b/src/core/sched/preemption_cmd.cpp
@@ -36,15 +36,16 @@
   return aVictim.m_task != nullptr &&
          aVictim.m_job->m_spec.m_policy.m_priority > aPriority &&
          aVictim.m_task->m_phase == TaskPhase::Running &&
-         !aVictim.m_step->m_longRunning && !aVictim.m_step->m_gang;
+         !aVictim.m_step->m_longRunning;
 }
 
 double LostWork(const TaskPlace& aVictim, TimePoint aNow) {
-  const double lost =
-      aVictim.m_step->m_savesProgress ? kLostWithCheckpoints : 1;
-  return lost *
-         static_cast<double>((aNow - aVictim.m_task->m_phaseSince).count()) *
-         static_cast<double>(aVictim.m_step->m_need.m_cores.Value());
+  const StepSpec& step = *aVictim.m_step;
+  const double lostShare = step.m_savesProgress ? kLostWithCheckpoints : 1.0;
+  const double tasks = step.m_gang ? static_cast<double>(step.m_count) : 1.0;
+  const Duration ran = aNow - aVictim.m_task->m_phaseSince;
+  return lostShare * tasks * static_cast<double>(ran.count()) *
+         static_cast<double>(step.m_need.m_cores.Value());
 }
 
 /** Compares the tasks of one runner with the best victim so far. */
@@ -66,11 +67,14 @@
 
 }  // namespace
 
-bool PreemptFor(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
-                const PlacementQuery& aQuery, TimePoint aNow) {
+namespace {
+
+/** @return whether a task was stopped for this one, now or a moment ago. */
+bool PreemptForTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+                    const PlacementQuery& aQuery, TimePoint aNow) {
   Task& task = *aPlace.m_task;
   if (aNow - task.m_phaseSince < kPreemptAfter) return false;
-  if (aNow - task.m_preemptedAt < kPreemptPause) return false;
+  if (aNow - task.m_preemptedAt < kPreemptPause) return true;
   const int priority = aPlace.m_job->m_spec.m_policy.m_priority;
   Victim victim;
   for (uint32_t at = 0; at < aCell.m_runners.size(); ++at) {
@@ -81,13 +85,24 @@
   }
   if (!victim.m_found) return false;
   task.m_preemptedAt = aNow;
-  const TaskPlace stopped = FindTask(aCell, victim.m_key);
   ++aCell.m_counts.m_preemptions;
   LogDecision(aCell,
               fmt::format("preempts task={} for={} priority={}",
                           TaskText(victim.m_key), TaskText(aKey), priority));
-  StopTask(aCell, victim.m_key, *stopped.m_task, aNow);
+  StopRun(aCell, victim.m_key, FindTask(aCell, victim.m_key), aNow);
   return true;
 }
 
+}  // namespace
+
+void PreemptForStep(Cell& aCell, const QueueKey& aKey,
+                    const PlacementQuery& aQuery, TimePoint aNow) {
+  for (uint32_t index = 0; index < aQuery.m_step->m_count; ++index) {
+    const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
+    const TaskPlace place = FindTask(aCell, key);
+    if (place.m_task->m_phase != TaskPhase::Ready) continue;
+    if (!PreemptForTask(aCell, key, place, aQuery, aNow)) return;
+  }
+}
+
 }  // namespace bronze::sched
--- a/src/core/sched/preemption_cmd.h
+++ b/src/core/sched/preemption_cmd.h
@@ -12,14 +12,13 @@
 namespace bronze::sched {
 
 /**
- * Stops the task with the least work to lose among those whose end alone makes
- * room for the given one. One task is stopped for each that waits, at most once
- * a second.
- * @pre No runner has room for the task.
- * @return whether a stop was ordered.
+ * For each waiting task of the step, stops the less urgent task with the least
+ * work to lose among those whose end alone makes room; one for each that waits,
+ * at most once a second.
+ * @pre No runner has room for a task of the step.
  */
-bool PreemptFor(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
-                const PlacementQuery& aQuery, TimePoint aNow);
+void PreemptForStep(Cell& aCell, const QueueKey& aKey,
+                    const PlacementQuery& aQuery, TimePoint aNow);
 
 }  // namespace bronze::sched
 
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -245,7 +245,7 @@
                             TaskText(key), task.m_run.Value(),
                             aRunner.m_entry.m_id.Value(), task.m_percent));
     task.m_avoid = task.m_runner;
-    StopTask(aCell, key, task, aNow);
+    StopRun(aCell, key, place, aNow);
     Quarantine(aCell, aRunner, aNow, "stall");
   }
 }
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -63,48 +63,6 @@
 
 enum class StepResult : uint8_t { AllPlaced, SomeLeft, NonePlaced };
 
-/** A gang is placed whole or not at all; its members share one run number. */
-StepResult PlaceGang(Cell& aCell, const QueueKey& aKey, Job& aJob,
-                     const StepSpec& aStep, TimePoint aNow) {
-  RunNumber run;
-  for (uint32_t index = 0; index < aStep.m_count; ++index) {
-    const TaskPlace place =
-        FindTask(aCell, {aKey.m_job, aKey.m_occurrence, aKey.m_step, index});
-    if (place.m_task->m_phase != TaskPhase::Ready)
-      return StepResult::NonePlaced;
-    run = std::max(run, place.m_task->m_run);
-  }
-  run = run.Next();
-  // All members carry one checkpoint; any member's is that of the gang.
-  std::string checkpoint;
-  PlacementQuery query = QueryFor(aCell, aKey, aJob, aStep);
-  for (uint32_t index = 0; index < aStep.m_count; ++index) {
-    const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
-    const TaskPlace place = FindTask(aCell, key);
-    if (!place.m_task->m_checkpoint.empty()) {
-      checkpoint = place.m_task->m_checkpoint;
-    }
-    const RunnerIndex runner = ChooseRunner(aCell, query, aNow);
-    if (!runner.IsValid()) {
-      for (uint32_t earlier = 0; earlier < index; ++earlier) {
-        const TaskKey other{aKey.m_job, aKey.m_occurrence, aKey.m_step,
-                            earlier};
-        Withdraw(aCell, other, FindTask(aCell, other));
-      }
-      return StepResult::NonePlaced;
-    }
-    if (aStep.m_sameRack && query.m_rack.empty()) {
-      query.m_rack = aCell.m_runners[runner.Value()].m_rack;
-    }
-    Intend(aCell, key, place, runner, run, aNow);
-  }
-  for (uint32_t index = 0; index < aStep.m_count; ++index) {
-    FindTask(aCell, {aKey.m_job, aKey.m_occurrence, aKey.m_step, index})
-        .m_task->m_checkpoint = checkpoint;
-  }
-  return StepResult::AllPlaced;
-}
-
 /** The rack of a task of the step that has a place; empty: none has. */
 std::string RackOfStep(const Cell& aCell, const Job& aJob,
                        const QueueKey& aKey) {
@@ -187,11 +145,99 @@
                      });
 }
 
-StepResult PlaceStep(Cell& aCell, const QueueKey& aKey, TimePoint aNow) {
+/** A step of which a task found no room on any runner of its pool. */
+struct UnplacedStep {
+  const StepSpec* m_step = nullptr;
+  ServiceId m_service;
+};
+
+/** What one pass over the queue has found. Room only shrinks within a pass, so
+ *  larger tasks of the same kind need not be looked at: many steps that cannot
+ *  be placed then hide none that can. */
+struct Pass {
+  std::vector<UnplacedStep> m_unplaced;
+  uint32_t m_misses = 0;  ///< Searches in vain.
+};
+
+/** Whether a task of the same kind that is no larger found no room. */
+bool IsHopeless(const Pass& aPass, const PlacementQuery& aQuery) {
+  const StepSpec& step = *aQuery.m_step;
+  return std::any_of(
+      aPass.m_unplaced.begin(), aPass.m_unplaced.end(),
+      [&](const UnplacedStep& aUnplaced) {
+        const StepSpec& earlier = *aUnplaced.m_step;
+        return earlier.m_fills == step.m_fills &&
+               (!step.m_fills || earlier.m_image == step.m_image) &&
+               earlier.m_requiredLabel == step.m_requiredLabel &&
+               aUnplaced.m_service == aQuery.m_service &&
+               Fits(earlier.m_need, step.m_need);
+      });
+}
+
+/** A task of the step found no room: remembers that for the pass, and stops
+ *  less urgent ones for it. */
+void NoteUnplaced(Cell& aCell, const QueueKey& aKey,
+                  const PlacementQuery& aQuery, Pass& aPass, TimePoint aNow) {
+  ++aPass.m_misses;
+  // Anti-affinity may have kept it from room that another step could use.
+  if (aQuery.m_step->m_antiAffinity == 0 || aQuery.m_tally->m_unfit == 0) {
+    aPass.m_unplaced.push_back({aQuery.m_step, aQuery.m_service});
+  }
+  if (aQuery.m_tally->m_full > 0) PreemptForStep(aCell, aKey, aQuery, aNow);
+}
+
+/** A gang is placed whole or not at all; its members share one run number. */
+StepResult PlaceGang(Cell& aCell, const QueueKey& aKey, const StepSpec& aStep,
+                     PlacementQuery aQuery, Pass& aPass, TimePoint aNow) {
+  RunNumber run;
+  for (uint32_t index = 0; index < aStep.m_count; ++index) {
+    const TaskPlace place =
+        FindTask(aCell, {aKey.m_job, aKey.m_occurrence, aKey.m_step, index});
+    if (place.m_task->m_phase != TaskPhase::Ready)
+      return StepResult::NonePlaced;
+    run = std::max(run, place.m_task->m_run);
+  }
+  run = run.Next();
+  // All members carry one checkpoint; any member's is that of the gang.
+  std::string checkpoint;
+  for (uint32_t index = 0; index < aStep.m_count; ++index) {
+    const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
+    const TaskPlace place = FindTask(aCell, key);
+    if (!place.m_task->m_checkpoint.empty()) {
+      checkpoint = place.m_task->m_checkpoint;
+    }
+    const RunnerIndex runner = ChooseRunner(aCell, aQuery, aNow);
+    if (!runner.IsValid()) {
+      ++aPass.m_misses;
+      for (uint32_t earlier = 0; earlier < index; ++earlier) {
+        const TaskKey other{aKey.m_job, aKey.m_occurrence, aKey.m_step,
+                            earlier};
+        Withdraw(aCell, other, FindTask(aCell, other));
+      }
+      return StepResult::NonePlaced;
+    }
+    if (aStep.m_sameRack && aQuery.m_rack.empty()) {
+      aQuery.m_rack = aCell.m_runners[runner.Value()].m_rack;
+    }
+    Intend(aCell, key, place, runner, run, aNow);
+  }
+  for (uint32_t index = 0; index < aStep.m_count; ++index) {
+    FindTask(aCell, {aKey.m_job, aKey.m_occurrence, aKey.m_step, index})
+        .m_task->m_checkpoint = checkpoint;
+  }
+  return StepResult::AllPlaced;
+}
+
+StepResult PlaceStep(Cell& aCell, const QueueKey& aKey, Pass& aPass,
+                     TimePoint aNow) {
   Job& job = aCell.m_jobs.at(aKey.m_job);
   const StepSpec& step = job.m_spec.m_steps[aKey.m_step];
-  if (step.m_gang) return PlaceGang(aCell, aKey, job, step, aNow);
   PlacementQuery query = QueryFor(aCell, aKey, job, step);
+  if (IsHopeless(aPass, query)) {
+    if (!step.m_gang) PreemptForStep(aCell, aKey, query, aNow);
+    return StepResult::NonePlaced;
+  }
+  if (step.m_gang) return PlaceGang(aCell, aKey, step, query, aPass, aNow);
   if (step.m_sameRack) query.m_rack = RackOfStep(aCell, job, aKey);
   PlacementTally tally;
   query.m_tally = &tally;
@@ -215,7 +261,7 @@
       return any ? StepResult::SomeLeft : StepResult::NonePlaced;
     }
     if (!runner.IsValid()) {
-      if (tally.m_full > 0) PreemptFor(aCell, key, place, query, aNow);
+      NoteUnplaced(aCell, aKey, query, aPass, aNow);
       LogWait(aCell, key, place, tally, aNow);
       return any ? StepResult::SomeLeft : StepResult::NonePlaced;
     }
@@ -278,15 +324,15 @@
   if (!aCell.m_capacityChanged) return;
   aCell.m_capacityChanged = false;
   UpdateShortDemand(aCell, aNow);
-  uint32_t misses = 0;
+  Pass pass;
   for (auto at = aCell.m_queue.begin();
-       at != aCell.m_queue.end() && misses < aCell.m_settings.m_maxMisses;) {
-    const StepResult result = PlaceStep(aCell, *at, aNow);
+       at != aCell.m_queue.end() &&
+       pass.m_misses < aCell.m_settings.m_maxMisses;) {
+    const StepResult result = PlaceStep(aCell, *at, pass, aNow);
     if (result == StepResult::AllPlaced) {
       at = aCell.m_queue.erase(at);
       continue;
     }
-    ++misses;
     ++at;
   }
 }
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -214,6 +214,12 @@
   OrderStop(aCell, aKey, aTask, aNow);
 }
 
+void StopRun(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+             TimePoint aNow) {
+  StopTask(aCell, aKey, *aPlace.m_task, aNow);
+  if (aPlace.m_step->m_gang) StopOtherMembers(aCell, aKey, aPlace, aNow);
+}
+
 namespace {
 
 /** Ends the task of a job that is no longer active. */
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -60,6 +60,11 @@
 /** Ends the current run: the task waits in Stopping until the end is listed. */
 void StopTask(Cell& aCell, const TaskKey& aKey, Task& aTask, TimePoint aNow);
 
+/** The same for all members if the task is one of a gang, which cannot go on
+ *  without it. */
+void StopRun(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
+             TimePoint aNow);
+
 /** The job leaves Active: its tasks are stopped or dropped. */
 void EndJob(Cell& aCell, Job& aJob, JobPhase aPhase, TimePoint aNow);
 
--- a/tests/core/sched/urgency_test.cpp
+++ b/tests/core/sched/urgency_test.cpp
@@ -105,6 +105,42 @@
   BOOST_TEST(TaskOf(1, stops[0].m_task.m_index).m_checkpoint == "half");
 }
 
+/** Guards against a gang that keeps urgent work waiting, and against members
+ *  that go on after one of them was stopped. */
+BOOST_AUTO_TEST_CASE(GangIsStoppedWhole) {
+  AddRunner("a", 8000);
+  JobSpec gang = LessUrgent(1, 2);
+  gang.m_steps[0].m_gang = true;
+  Submit(std::move(gang));
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 2U);
+  Submit(Spec(2, 1));
+  Pass(milliseconds(300));
+  m_cell.m_capacityChanged = true;
+  PlaceTasks(m_cell, m_now);
+  BOOST_TEST(Take<StopOrder>().size() == 2U);
+}
+
+/** Guards against steps that can run nowhere and hide, by their number, those
+ *  behind them that could. */
+BOOST_AUTO_TEST_CASE(ManyHopelessStepsHideNoOther) {
+  AddRunner("a", 8000);
+  for (uint64_t id = 1; id <= 200; ++id) {
+    JobSpec spec = Spec(id, 1);
+    spec.m_steps[0].m_need.m_cores =
+        Millicores(9000 + static_cast<int64_t>(id));
+    Submit(std::move(spec));
+  }
+  for (uint64_t id = 201; id <= 400; ++id) {
+    JobSpec spec = Spec(id, 1);
+    spec.m_steps[0].m_requiredLabel = "nowhere";
+    Submit(std::move(spec));
+  }
+  JobSpec behind = Spec(1000, 1);
+  behind.m_policy.m_priority = 3;
+  Submit(std::move(behind));
+  BOOST_TEST(StartAll().size() == 1U);
+}
+
 /** Guards against stopping work that is as urgent, that lasts, or whose end
  *  makes no room. */
 BOOST_AUTO_TEST_CASE(OnlyAUsefulVictimIsStopped) {
