sched: wider margins beside tails; tasks that last grouped by image; no fixed delay of small VMs

The bound of TasksThatLastAreSpreadOverRacks follows from packing: racks differ by one runner at most.

--- a/src/codec/job_cbor.cpp
+++ b/src/codec/job_cbor.cpp
@@ -224,9 +224,9 @@
     silent.push_back(
         Json::array({row.m_runner.Value(), row.m_lapsesAt.Value()}));
   }
-  return ToBytes(
-      Json::array({kFormat, aRow.m_vm, aRow.m_incarnation, aRow.m_address,
-                   aRow.m_sequence, aRow.m_lease.count(), std::move(silent)}));
+  return ToBytes(Json::array({kFormat, aRow.m_vm, aRow.m_incarnation,
+                              aRow.m_address, aRow.m_sequence, aRow.m_cpuShare,
+                              aRow.m_lease.count(), std::move(silent)}));
 }
 
 Result<OwnerRow> DecodeOwnerRow(std::string_view aBytes) {
@@ -236,8 +236,9 @@
     row.m_incarnation = aJson.at(2).get<uint64_t>();
     row.m_address = aJson.at(3).get<std::string>();
     row.m_sequence = aJson.at(4).get<uint64_t>();
-    row.m_lease = Duration(aJson.at(5).get<int64_t>());
-    for (const Json& silent : aJson.at(6)) {
+    row.m_cpuShare = aJson.at(5).get<double>();
+    row.m_lease = Duration(aJson.at(6).get<int64_t>());
+    for (const Json& silent : aJson.at(7)) {
       row.m_silent.push_back({RunnerId(silent.at(0).get<std::string>()),
                               StoreMillis(silent.at(1).get<int64_t>())});
     }
--- a/src/codec/job_cbor.h
+++ b/src/codec/job_cbor.h
@@ -34,6 +34,7 @@
   uint64_t m_incarnation = 0;
   std::string m_address;    ///< Where other daemons reach it.
   uint64_t m_sequence = 0;  ///< Rises with each transaction of the owner.
+  double m_cpuShare = 0.0;  ///< Of the VM, of one core; 0: not said.
   Duration m_lease{};       ///< Longest that was ordered in this cell.
   std::vector<SilentRow> m_silent;  ///< See core/sched/silence_cmd.h.
 };
--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -50,9 +50,9 @@
   Duration m_shortDemandMemory = seconds(15);  ///< Time in which a peak halves.
   /** Load kept free below the limit of a serving task when a fill is placed
    *  beside it, since its own load swings. */
-  double m_placeMargin = 0.10;
+  double m_placeMargin = 0.15;
   /** The same when the fills that run beside it are paced. */
-  double m_paceMargin = 0.04;
+  double m_paceMargin = 0.08;
   /** How many times as long a task takes away from the rack of its data. */
   double m_spreadFactor = 1.0;
   /** Searches of one pass over the queue that find no place. */
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -24,9 +24,9 @@
 /** Tasks that last are packed, those of one image together, so that some
  *  runners stay free of images that a given fill harms. */
 constexpr double kPackWeight = 1.0;
-constexpr double kSameImageWeight = 0.5;
-/** A tenth of a rack more load outweighs a runner that is packed half full. */
-constexpr double kRackBalanceWeight = 5.0;
+constexpr double kSameImageWeight = 3.0;
+/** A new runner is begun on the rack with the least load. */
+constexpr double kRackBalanceWeight = 1.0;
 /** Tasks that fill may ask for so much of the unused cores; what exceeds 1
  *  makes all of them slower. */
 constexpr double kFillOvercommit = 1.1;
--- a/src/scheduler/cell_seat.cpp
+++ b/src/scheduler/cell_seat.cpp
@@ -4,6 +4,8 @@
 
 #include "scheduler/cell_seat.h"
 
+#include <algorithm>
+
 #include "scheduler/boot_clock.h"
 #include "scheduler/owner_timing.h"
 
@@ -21,6 +23,13 @@
  *  called any more. */
 constexpr Duration kViewValid = seconds(4);
 
+/** A VM with less of a core than the last owner waits up to this much longer
+ *  before it claims a cell. */
+constexpr Duration kSmallVmDelay = milliseconds(500);
+/** Share of a core that stands for the last owner's if there was none: an owner
+ *  of 350 runners needs some 0.15 of a core (measured, 860 starts a second). */
+constexpr double kAmpleCpuShare = 0.25;
+
 }  // namespace
 
 CellSeat::CellSeat(boost::asio::io_context& aContext, StoreClient& aStore,
@@ -96,18 +105,28 @@
   ConsiderClaim(now);
 }
 
+Duration CellSeat::ClaimDelay() const {
+  const double wanted =
+      m_row.m_cpuShare > 0.0 ? m_row.m_cpuShare : kAmpleCpuShare;
+  const double lacking =
+      std::clamp((wanted - m_identity.m_cpuShare) / wanted, 0.0, 1.0);
+  return m_identity.m_claimDelay +
+         Duration(static_cast<int64_t>(
+             lacking * static_cast<double>(kSmallVmDelay.count())));
+}
+
 void CellSeat::ConsiderClaim(TimePoint aNow) {
   const bool vacant = m_version.Value() == 0 || m_row.m_vm.empty();
   const bool ownEarlierLife = m_row.m_vm == m_identity.m_vm.Value() &&
                               m_row.m_incarnation != m_identity.m_incarnation;
   const Duration silence = aNow - m_changedAt;
-  const bool silent = silence > kOwnerSilence + m_identity.m_claimDelay;
-  const bool turn = vacant && silence >= m_identity.m_claimDelay;
+  const bool silent = silence > kOwnerSilence + ClaimDelay();
+  const bool turn = vacant && silence >= ClaimDelay();
   if (!m_handingOver && (ownEarlierLife || silent || turn)) {
     Claim();
     return;
   }
-  const Duration left = m_identity.m_claimDelay - silence;
+  const Duration left = ClaimDelay() - silence;
   PollLater(vacant && left > Duration::zero() ? left : kPollPause);
 }
 
--- a/src/scheduler/cell_seat.h
+++ b/src/scheduler/cell_seat.h
@@ -24,6 +24,7 @@
   uint64_t m_incarnation = 0;  ///< Rises with each start.
   std::string m_peerAddress;
   Duration m_claimDelay{};  ///< Before a claim, so that daemons take turns.
+  double m_cpuShare = 1.0;  ///< Of one core.
 };
 
 class CellSeat : public std::enable_shared_from_this<CellSeat> {
@@ -49,6 +50,9 @@
  private:
   void Poll();
   void OnPolled(RowsResult aResult);
+  /** Pause before a claim; longer on a VM that is smaller than the last owner,
+   *  so that another one as large as that takes the cell if there is one. */
+  [[nodiscard]] Duration ClaimDelay() const;
   void ConsiderClaim(TimePoint aNow);
   void Claim();
   void OnClaimed(const OwnerRow& aClaimed, TransactionResult aResult);
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -36,19 +36,10 @@
  *  calls in progress are answered until then. */
 constexpr double kDrainShare = 0.7;
 
-/** VMs with less of a core than this wait longer before they claim a cell, so
- *  that a larger VM takes it if there is one: an owner of 350 runners needs
- *  some 0.15 of a core (measured, 860 starts a second). */
-constexpr double kAmpleCpuShare = 0.25;
-constexpr double kSmallVmDelayMs = 500.0;
-
-Duration ClaimDelay(const NodeConfig& aConfig) {
-  const std::string& vm = aConfig.m_vm.Value();
-  const uint64_t hash = XXH3_64bits(vm.data(), vm.size());
-  const double lacking = std::clamp(
-      (kAmpleCpuShare - aConfig.m_cpuShare) / kAmpleCpuShare, 0.0, 1.0);
-  return milliseconds(static_cast<int64_t>(hash % kClaimSpreadMs) +
-                      static_cast<int64_t>(lacking * kSmallVmDelayMs));
+Duration ClaimDelay(const VmId& aVm) {
+  const std::string& name = aVm.Value();
+  return milliseconds(static_cast<int64_t>(
+      XXH3_64bits(name.data(), name.size()) % kClaimSpreadMs));
 }
 
 sched::CellSettings SettingsOf(const NodeConfig& aConfig) {
@@ -89,7 +80,7 @@
       m_liveConfig(std::make_shared<const sched::LiveConfig>()) {
   const NodeIdentity identity{aConfig.m_vm, aIncarnation,
                               AddressText(aConfig.m_peerAddress),
-                              ClaimDelay(aConfig)};
+                              ClaimDelay(aConfig.m_vm), aConfig.m_cpuShare};
   for (uint32_t cell = 0; cell < kCells; ++cell) {
     m_seats.push_back(std::make_shared<CellSeat>(m_context, m_store, m_runners,
                                                  m_log, CellId(cell), identity,
