--- a/src/scheduler/cell_seat.cpp
+++ b/src/scheduler/cell_seat.cpp
@@ -135,6 +135,7 @@
                m_identity.m_incarnation,
                m_identity.m_peerAddress,
                m_row.m_sequence + 1,
+               m_identity.m_cpuShare,
                m_row.m_lease,
                m_row.m_silent};
   const RowKey key{kOwnerTable, PartOf(m_cell), kOwnerKey};
