sched: a successor gets what was learned about harm between images

Cause: the table of harm was lost with its owner, so tails exceeded their targets again after each takeover until it was learned anew. It is written with a commit every 3 s, by names of images, and read before the jobs.

Test: LearnedHarmIsRestoredByName.

--- a/src/codec/job_cbor.cpp
+++ b/src/codec/job_cbor.cpp
@@ -218,6 +218,36 @@
   });
 }
 
+std::string EncodeHarm(const sched::StoredHarm& aHarm) {
+  Json floors = Json::array();
+  for (const auto& floor : aHarm.m_floors) {
+    floors.push_back(Json::array({floor.m_image, floor.m_tailMs}));
+  }
+  Json pairs = Json::array();
+  for (const auto& pair : aHarm.m_pairs) {
+    pairs.push_back(Json::array({pair.m_fill, pair.m_serving,
+                                 pair.m_sums.m_cross, pair.m_sums.m_square}));
+  }
+  return ToBytes(Json::array({kFormat, std::move(floors), std::move(pairs)}));
+}
+
+Result<sched::StoredHarm> DecodeHarm(std::string_view aBytes) {
+  return Decode<sched::StoredHarm>(aBytes, "harm", [](const Json& aJson) {
+    sched::StoredHarm harm;
+    for (const Json& floor : aJson.at(1)) {
+      harm.m_floors.push_back(
+          {floor.at(0).get<std::string>(), floor.at(1).get<double>()});
+    }
+    for (const Json& pair : aJson.at(2)) {
+      harm.m_pairs.push_back(
+          {pair.at(0).get<std::string>(),
+           pair.at(1).get<std::string>(),
+           {pair.at(2).get<double>(), pair.at(3).get<double>()}});
+    }
+    return harm;
+  });
+}
+
 std::string EncodeOwnerRow(const OwnerRow& aRow) {
   Json silent = Json::array();
   for (const SilentRow& row : aRow.m_silent) {
--- a/src/codec/job_cbor.h
+++ b/src/codec/job_cbor.h
@@ -21,6 +21,10 @@
 [[nodiscard]] Result<sched::StoredState> DecodeJobState(
     std::string_view aBytes);
 
+/** What was learned about harm between images; one row a cell. */
+[[nodiscard]] std::string EncodeHarm(const sched::StoredHarm& aHarm);
+[[nodiscard]] Result<sched::StoredHarm> DecodeHarm(std::string_view aBytes);
+
 /** A runner that does not answer the owner, and when its lease has ended. */
 struct SilentRow {
   RunnerId m_runner;
--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -138,6 +138,8 @@
   double m_shortPeak = 0.0;  ///< Fading peak of m_shortDemand, millicores.
   TimePoint m_shortPeakAt;   ///< When m_shortPeak was updated.
   HarmTable m_harm;
+  uint64_t m_harmTaken = 0;  ///< m_harm.m_changes in the last commit with it.
+  TimePoint m_harmTakenAt;   ///< When that commit was taken.
   bool m_silenceChanged = false;  ///< The stored silent runners are not those
                                   ///< of the last commit that was taken.
   bool m_capacityChanged = true;  ///< A pass over the queue may find a place.
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "core/sched/harm_func.h"
 #include "core/sched/runner_cmd.h"
 #include "core/sched/schedule_cmd.h"
 #include "core/sched/task_internal.h"
@@ -64,6 +65,9 @@
 
 /** Bounds the bytes of one commit, at some 20 bytes a task. */
 constexpr size_t kMaxTasksPerCommit = 10000;
+/** What is learned between two stores of the harm is lost with the owner; a
+ *  store of 14 images takes some 1.5 KB. */
+constexpr Duration kHarmPause = seconds(3);
 
 size_t TaskCount(const Job& aJob) {
   size_t count = 0;
@@ -78,6 +82,12 @@
 Commit TakeCommit(Cell& aCell, size_t aMaxJobs, TimePoint aNow) {
   Commit commit;
   commit.m_silent = TakeSilentRunners(aCell, aNow);
+  if (aCell.m_harm.m_changes != aCell.m_harmTaken &&
+      aNow - aCell.m_harmTakenAt >= kHarmPause) {
+    commit.m_harm = ToStored(aCell.m_harm);
+    aCell.m_harmTaken = aCell.m_harm.m_changes;
+    aCell.m_harmTakenAt = aNow;
+  }
   size_t tasks = 0;
   while (!aCell.m_dirty.empty() && commit.m_writes.size() < aMaxJobs &&
          tasks < kMaxTasksPerCommit) {
@@ -119,6 +129,7 @@
   aCell.m_removed.insert(aCell.m_removed.end(), aCommit.m_removed.begin(),
                          aCommit.m_removed.end());
   aCell.m_silenceChanged = true;
+  if (aCommit.m_harm) aCell.m_harmTakenAt = TimePoint();
 }
 
 namespace {
--- a/src/core/sched/commit_cmd.h
+++ b/src/core/sched/commit_cmd.h
@@ -51,6 +51,7 @@
   std::vector<JobWrite> m_writes;
   std::vector<JobId> m_removed;
   std::vector<SilentRunner> m_silent;  ///< Replaces those stored before.
+  std::optional<StoredHarm> m_harm;    ///< Now and then, if it has changed.
 };
 
 /** @param aMaxJobs bounds the rows of one transaction. */
--- a/src/core/sched/harm_func.cpp
+++ b/src/core/sched/harm_func.cpp
@@ -94,6 +94,7 @@
         Weight(Pair(aTable, change.m_image, aServing)) * change.m_share;
   }
   const double error = aLoadChange - predicted;
+  if (!aChanges.empty()) ++aTable.m_changes;
   for (const UsedShare& change : aChanges) {
     HarmPair& pair = Pair(aTable, change.m_image, aServing);
     // What the other images do not explain is this one's.
@@ -107,4 +108,33 @@
   }
 }
 
+StoredHarm ToStored(const HarmTable& aTable) {
+  StoredHarm stored;
+  for (const auto& [name, image] : aTable.m_images) {
+    const double tail = aTable.m_floor[image.Value()];
+    if (tail > 0.0) stored.m_floors.push_back({name, tail});
+  }
+  for (const auto& [fill, fillImage] : aTable.m_images) {
+    for (const auto& [serving, servingImage] : aTable.m_images) {
+      const HarmPair& pair =
+          aTable.m_pairs[fillImage.Value() * aTable.m_stride +
+                         servingImage.Value()];
+      if (pair.m_square > 0.0) stored.m_pairs.push_back({fill, serving, pair});
+    }
+  }
+  return stored;
+}
+
+void RestoreHarm(HarmTable& aTable, const StoredHarm& aStored) {
+  for (const StoredHarm::Floor& floor : aStored.m_floors) {
+    const ImageIndex image = ImageByName(aTable, floor.m_image);
+    aTable.m_floor[image.Value()] = floor.m_tailMs;
+  }
+  for (const StoredHarm::Pair& pair : aStored.m_pairs) {
+    const ImageIndex fill = ImageByName(aTable, pair.m_fill);
+    const ImageIndex serving = ImageByName(aTable, pair.m_serving);
+    Pair(aTable, fill, serving) = pair.m_sums;
+  }
+}
+
 }  // namespace bronze::sched
--- a/src/core/sched/harm_func.h
+++ b/src/core/sched/harm_func.h
@@ -35,6 +35,12 @@
 void LearnHarm(HarmTable& aTable, const std::vector<UsedShare>& aChanges,
                ImageIndex aServing, double aLoadChange);
 
+/** @return what the table has learned. */
+[[nodiscard]] StoredHarm ToStored(const HarmTable& aTable);
+
+/** Enters what an earlier owner learned into a table that knows nothing yet. */
+void RestoreHarm(HarmTable& aTable, const StoredHarm& aStored);
+
 }  // namespace bronze::sched
 
 #endif  // BRONZE_CORE_SCHED_HARM_FUNC_H_
--- a/src/core/sched/harm_type.h
+++ b/src/core/sched/harm_type.h
@@ -35,6 +35,22 @@
   size_t m_stride = 0;            ///< Images that a row has space for.
   std::vector<HarmPair> m_pairs;  ///< [fill * m_stride + serving].
   std::vector<double> m_floor;    ///< Per image: lowest tail in ms; 0: none.
+  uint64_t m_changes = 0;         ///< Rises with each thing learned.
+};
+
+/** What was learned, by names of images, as a successor gets it. */
+struct StoredHarm {
+  struct Floor {
+    std::string m_image;
+    double m_tailMs = 0.0;
+  };
+  struct Pair {
+    std::string m_fill;
+    std::string m_serving;
+    HarmPair m_sums;
+  };
+  std::vector<Floor> m_floors;
+  std::vector<Pair> m_pairs;
 };
 
 /** A serving task as placement and pacing see it. */
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "core/sched/harm_func.h"
 #include "core/sched/job_cmd.h"
 #include "core/sched/schedule_cmd.h"
 #include "platform/wire_decode.h"
@@ -54,7 +55,33 @@
 void CellOwner::Start() {
   m_log.Write("[cell]", "owns cell={} fence={}", m_cellId.Value(),
               m_cell.m_fence.Value());
-  LoadStates("");
+  LoadHarm();
+}
+
+void CellOwner::LoadHarm() {
+  m_store.Read(kHarmTable, m_part, "", kLoadTimeout,
+               [self = shared_from_this()](RowsResult aResult) {
+                 if (self->m_ended) return;
+                 self->OnHarm(aResult);
+                 self->LoadStates("");
+               });
+}
+
+void CellOwner::OnHarm(const RowsResult& aResult) {
+  // Without it the cell works as well and learns again.
+  if (aResult.m_outcome != StoreOutcome::Done) {
+    m_log.Write("[cell]", "harm not read cell={}", m_cellId.Value());
+    return;
+  }
+  for (const StoreRow& row : aResult.m_rows) {
+    const auto harm = DecodeHarm(row.m_value);
+    if (harm) {
+      sched::RestoreHarm(m_cell.m_harm, harm.value());
+    } else {
+      m_log.Write("[cell]", "skipped harm row={} error={}", row.m_key.m_key,
+                  harm.error().m_message);
+    }
+  }
 }
 
 void CellOwner::LoadStates(std::string aFrom) {
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -32,6 +32,8 @@
 inline constexpr char kOwnerKey[] = "owner";
 inline constexpr char kJobTable[] = "job";
 inline constexpr char kStateTable[] = "state";
+inline constexpr char kHarmTable[] = "harm";
+inline constexpr char kHarmKey[] = "images";
 
 [[nodiscard]] std::string PartOf(CellId aCell);
 
@@ -73,6 +75,8 @@
     AnswerHandler m_handler;
   };
 
+  void LoadHarm();
+  void OnHarm(const RowsResult& aResult);
   void LoadStates(std::string aFrom);
   void OnStates(RowsResult aResult);
   void LoadJobs(std::string aFrom);
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -55,6 +55,10 @@
     m_transaction.m_puts.push_back(
         {{kStateTable, m_part, key}, EncodeJobState(write.m_state), {}});
   }
+  if (m_commit.m_harm) {
+    m_transaction.m_puts.push_back(
+        {{kHarmTable, m_part, kHarmKey}, EncodeHarm(*m_commit.m_harm), {}});
+  }
   for (const JobId job : m_commit.m_removed) {
     m_transaction.m_removes.push_back({kJobTable, m_part, JobKey(job)});
     m_transaction.m_removes.push_back({kStateTable, m_part, JobKey(job)});
--- a/tests/core/sched/harm_test.cpp
+++ b/tests/core/sched/harm_test.cpp
@@ -117,6 +117,24 @@
   BOOST_TEST(paces[0].m_percent == 0);
 }
 
+/** Guards against a successor that has to learn again which images harm which:
+ *  until it has, tails exceed their targets. */
+BOOST_AUTO_TEST_CASE(LearnedHarmIsRestoredByName) {
+  HarmTable learned;
+  const ImageIndex serving = ImageByName(learned, "serving");
+  const ImageIndex fill = ImageByName(learned, "fill");
+  NoteTail(learned, serving, 5.0);
+  LearnHarm(learned, {{fill, 0.2}}, serving, 0.4);
+  HarmTable restored;
+  static_cast<void>(ImageByName(restored, "another"));
+  RestoreHarm(restored, ToStored(learned));
+  const ImageIndex servingAgain = ImageByName(restored, "serving");
+  const ImageIndex fillAgain = ImageByName(restored, "fill");
+  BOOST_TEST(Harm(restored, fillAgain, servingAgain) ==
+             Harm(learned, fill, serving));
+  BOOST_TEST(LoadOfTail(restored, servingAgain, 10.0) == 0.5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
