--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -24,7 +24,8 @@
 
 /** Limits and weights of the policy. Defaults are for a lease of 10 s. */
 struct CellSettings {
-  Duration m_lease = seconds(7);  ///< Ordered with each renewal.
+  Duration m_lease = seconds(7);      ///< Ordered with each renewal.
+  Duration m_leaseCap = seconds(10);  ///< A runner shortens longer ones.
   /** Longest lease that an earlier owner may have ordered. */
   Duration m_maxLease = seconds(10);
   Duration m_statusRetention = seconds(150);  ///< Ended jobs stay known.
@@ -122,6 +123,9 @@
 struct Cell {
   CellSettings m_settings;
   FencingToken m_fence;  ///< Of this term; rises with each owner.
+  /** The newest version of the owner row that is durable: a higher token than
+   *  all that were used before, and lower than a successor's. */
+  FencingToken m_newestFence;
   std::unordered_map<JobId, Job> m_jobs;
   std::vector<Runner> m_runners;  ///< Never shrinks within a term.
   std::map<RunnerId, RunnerIndex> m_runnerByName;
@@ -140,8 +144,9 @@
   HarmTable m_harm;
   uint64_t m_harmTaken = 0;  ///< m_harm.m_changes in the last commit with it.
   TimePoint m_harmTakenAt;   ///< When that commit was taken.
-  bool m_silenceChanged = false;  ///< The stored silent runners are not those
-                                  ///< of the last commit that was taken.
+  /** A commit is due although no job has changed: the silent runners have, or
+   *  a runner waits for a newer fence. */
+  bool m_commitWanted = false;
   bool m_capacityChanged = true;  ///< A pass over the queue may find a place.
   TimePoint m_waitLoggedAt;       ///< Of the last line on a step that waits.
   CellCounts m_counts;
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -128,7 +128,7 @@
   }
   aCell.m_removed.insert(aCell.m_removed.end(), aCommit.m_removed.begin(),
                          aCommit.m_removed.end());
-  aCell.m_silenceChanged = true;
+  aCell.m_commitWanted = true;
   if (aCommit.m_harm) aCell.m_harmTakenAt = TimePoint();
 }
 
--- a/src/core/sched/commit_cmd.h
+++ b/src/core/sched/commit_cmd.h
@@ -59,7 +59,7 @@
 
 [[nodiscard]] inline bool HasCommit(const Cell& aCell) {
   return !aCell.m_dirty.empty() || !aCell.m_removed.empty() ||
-         aCell.m_silenceChanged;
+         aCell.m_commitWanted;
 }
 
 /** The commit is durable: orders that waited for it are made. */
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /** A runner's clock may be 2 % slow (protocol of the runners). */
-constexpr double kSlowestClock = 1.02;
+constexpr int64_t kSlowestClockPercent = 102;
 /** Added to a lease end for the time an answer was under way. */
 constexpr Duration kLeaseMargin = milliseconds(300);
 /** Pause before an unanswered renewal is repeated. */
@@ -29,6 +29,8 @@
 constexpr Duration kRefusedRetry = milliseconds(400);
 /** Pause between renewals while ends wait for the store. */
 constexpr Duration kUnstoredHoldPause = milliseconds(500);
+/** A runner takes longer than this to start again, run a task and end it. */
+constexpr Duration kFreshReport = milliseconds(200);
 /** Differs from every pace, so that the next report orders one. */
 constexpr int kPaceUnknown = -1;
 /** An unanswered stop is repeated after this. */
@@ -40,12 +42,6 @@
   return std::chrono::duration_cast<milliseconds>(aDuration).count();
 }
 
-Duration StretchedLease(int64_t aMillis) {
-  return Duration(static_cast<int64_t>(static_cast<double>(aMillis) * 1000.0 *
-                                       kSlowestClock)) +
-         kLeaseMargin;
-}
-
 /** Every run there has ended: the runner's life is over or its lease is. */
 void DropRuns(Cell& aCell, Runner& aRunner, TimePoint aNow,
               std::string_view aReason) {
@@ -63,21 +59,65 @@
 
 }  // namespace
 
+Duration StretchedLease(Duration aLease) {
+  return aLease * kSlowestClockPercent / 100 + kLeaseMargin;
+}
+
 RunnerIndex RunnerByName(Cell& aCell, const RunnerId& aRunner, TimePoint aNow) {
   const auto found = aCell.m_runnerByName.find(aRunner);
   if (found != aCell.m_runnerByName.end()) return found->second;
   const RunnerIndex index(static_cast<uint32_t>(aCell.m_runners.size()));
   Runner& runner = aCell.m_runners.emplace_back();
   runner.m_entry.m_id = aRunner;
+  runner.m_fence = aCell.m_fence;
   // An earlier owner may have renewed the lease until now.
-  runner.m_lapsesAt =
-      aNow + StretchedLease(WholeMillis(aCell.m_settings.m_maxLease));
+  runner.m_lapsesAt = aNow + StretchedLease(aCell.m_settings.m_maxLease);
   aCell.m_runnerByName.emplace(aRunner, index);
   return index;
 }
 
+namespace {
+
+/** Tasks that an earlier life had. Any of them may run on the new one: a start
+ *  may have reached it before this owner knew of it, or may still be carried
+ * out there until it has seen a higher fence. Its first list after that tells.
+ */
+void ForgetRuns(Cell& aCell, Runner& aRunner, TimePoint aNow) {
+  const std::vector<TaskKey> keys = aRunner.m_tasks;
+  for (const TaskKey& key : keys) {
+    const TaskPlace place = FindTask(aCell, key);
+    if (place.m_task == nullptr) continue;
+    Task& task = *place.m_task;
+    switch (task.m_phase) {
+      case TaskPhase::Starting:
+      case TaskPhase::Running:
+      case TaskPhase::Unsure:
+      case TaskPhase::Recovering:
+        task.m_phase = TaskPhase::Recovering;
+        task.m_phaseSince = aNow;
+        aRunner.m_lapsesAt =
+            std::max(aRunner.m_lapsesAt,
+                     aNow + StretchedLease(aCell.m_settings.m_maxLease));
+        break;
+      case TaskPhase::Stopping:
+        task.m_stopAnswered = true;
+        task.m_phaseSince = aNow;
+        break;
+      case TaskPhase::Blocked:
+      case TaskPhase::Ready:
+      case TaskPhase::Intended:
+      case TaskPhase::Done:
+        break;
+    }
+  }
+}
+
+}  // namespace
+
 void ForgetLife(Cell& aCell, Runner& aRunner, TimePoint aNow) {
-  DropRuns(aCell, aRunner, aNow, "new-life");
+  ForgetRuns(aCell, aRunner, aNow);
+  aRunner.m_awaitsFence = true;
+  aCell.m_commitWanted = true;
   aRunner.m_contacted = false;
   aRunner.m_lastDeadline = RunnerMillis();
   aRunner.m_readEnd = EndNumber();
@@ -127,7 +167,8 @@
   aRunner.m_lastDeadline = aDeadline;
   const int64_t left = (aDeadline - aRunner.m_clock).Value();
   aRunner.m_lapsesAt =
-      std::max(aRunner.m_lapsesAt, aRunner.m_clockAt + StretchedLease(left));
+      std::max(aRunner.m_lapsesAt,
+               aRunner.m_clockAt + StretchedLease(milliseconds(left)));
 }
 
 RunnerMillis OrderDeadline(Cell& aCell, Runner& aRunner, TimePoint aNow) {
@@ -144,6 +185,7 @@
   Runner& runner = aCell.m_runners[aRunner.Value()];
   if (runner.m_holdPending || runner.m_entry.m_address.empty()) return {};
   if (aNow < runner.m_nextHoldAt) return {};
+  if (runner.m_awaitsFence && aCell.m_newestFence <= runner.m_fence) return {};
   const bool hasWork = !runner.m_tasks.empty() || runner.m_hasUnknownRuns ||
                        !runner.m_unstoredEnds.empty() ||
                        runner.m_storedEnd > runner.m_toldEnd;
@@ -160,13 +202,19 @@
       aNow - runner.m_clockAt < kUnstoredHoldPause) {
     return {};
   }
+  runner.m_awaitsFence = false;
+  runner.m_fence = std::max(runner.m_fence, aCell.m_newestFence);
   HoldOrder order;
   order.m_runner = aRunner;
   order.m_address = runner.m_entry.m_address;
   order.m_id = runner.m_entry.m_id;
-  order.m_fence = aCell.m_fence;
-  order.m_lastSeen = runner.m_storedEnd;
-  runner.m_askedEnd = runner.m_storedEnd;
+  order.m_fence = runner.m_fence;
+  // A new life counts its ends anew, so a number from the earlier one would
+  // make it forget ends that nobody has read.
+  if (aNow - runner.m_clockAt < kFreshReport) {
+    order.m_lastSeen = runner.m_storedEnd;
+  }
+  runner.m_askedEnd = order.m_lastSeen;
   if (runner.m_contacted) {
     // An unanswered renewal may be in force; repeating it with the same end
     // keeps the time at which everything there has surely ended from moving.
--- a/src/core/sched/runner_internal.h
+++ b/src/core/sched/runner_internal.h
@@ -19,6 +19,10 @@
 /** The runner has confirmed the current run of the task. */
 void ConfirmRun(Cell& aCell, const TaskPlace& aPlace, TimePoint aNow);
 
+/** @return the time after which a lease of that length on the runner's own
+ *          clock has certainly ended. */
+[[nodiscard]] Duration StretchedLease(Duration aLease);
+
 }  // namespace bronze::sched
 
 #endif  // BRONZE_CORE_SCHED_RUNNER_INTERNAL_H_
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -19,6 +19,9 @@
 /** One run counts as at most so many times its estimate; estimates are rough
  *  and a few runs are much longer than the rest. */
 constexpr double kSlownessCap = 6.0;
+/** An order without an answer may be carried out seconds later, by then on a
+ * new life of the runner. The clock of a life starts at zero. */
+constexpr RunnerMillis kYoungLife(20000);
 
 void NoteSuccess(Runner& aRunner, const TaskPlace& aPlace, TimePoint aNow) {
   aRunner.m_failuresInRow = 0;
@@ -121,6 +124,8 @@
   if (aTask.m_phase == TaskPhase::Intended) return;
   ++aCell.m_counts.m_stops;
   aCell.m_orders.emplace_back(StopOrder{aKey, aTask.m_run, aTask.m_runner});
+  // Its place is free in the books, but not on the runner before the stop.
+  aCell.m_runners[aTask.m_runner.Value()].m_hasUnknownRuns = true;
 }
 
 void ApplyEnd(Cell& aCell, RunnerIndex aIndex, const EndRow& aEnd,
@@ -268,17 +273,27 @@
 void ApplyReport(Cell& aCell, RunnerIndex aRunner, const RunnerReport& aReport,
                  TimePoint aSentAt, TimePoint aNow) {
   Runner& runner = aCell.m_runners[aRunner.Value()];
+  const bool ofEarlierLife =
+      aReport.m_born.Value() != 0 && aReport.m_born < runner.m_entry.m_born;
+  if (ofEarlierLife || runner.m_awaitsFence) {
+    // Asked before the new life was known.
+    ApplyHoldFailure(aCell, aRunner, OrderOutcome::Unknown, aNow);
+    return;
+  }
   runner.m_holdPending = false;
   runner.m_nextHoldAt = aNow;
   if (runner.m_missedHolds > 0) aCell.m_capacityChanged = true;
   runner.m_missedHolds = 0;
   runner.m_refused = false;
-  if (aReport.m_born.Value() != 0) {
-    if (runner.m_entry.m_born.Value() != 0 &&
-        aReport.m_born != runner.m_entry.m_born) {
+  if (aReport.m_born > runner.m_entry.m_born) {
+    const bool newLife = runner.m_entry.m_born.Value() != 0;
+    runner.m_entry.m_born = aReport.m_born;
+    if (newLife) {
+      // This list may have been taken before an order to the earlier life was
+      // carried out; the next one, under a higher fence, counts.
       ForgetLife(aCell, runner, aNow);
+      return;
     }
-    runner.m_entry.m_born = aReport.m_born;
   }
   const bool firstContact = !runner.m_contacted;
   runner.m_toldEnd = std::max(runner.m_toldEnd, runner.m_askedEnd);
@@ -288,7 +303,15 @@
   if (firstContact) {
     // Without a renewal the lease that an earlier owner ordered goes on.
     runner.m_lastDeadline = RunnerMillis();
-    if (aReport.m_running.empty()) runner.m_lapsesAt = aNow;
+    if (aReport.m_clock < kYoungLife) {
+      // An order to an earlier life that came late may have set an end by that
+      // life's clock, which the runner cuts to its cap.
+      runner.m_lapsesAt =
+          std::max(runner.m_lapsesAt,
+                   aNow + StretchedLease(aCell.m_settings.m_leaseCap));
+    } else if (aReport.m_running.empty()) {
+      runner.m_lapsesAt = aNow;
+    }
     if (!runner.m_tasks.empty()) OrderDeadline(aCell, runner, aNow);
     aCell.m_capacityChanged = true;
   }
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -79,6 +79,11 @@
   std::string m_rack;     ///< Last label; empty if there is none.
   bool m_listed = false;  ///< In the platform's list at present.
 
+  /** Goes with each order. It rises with each start, each renewal and for each
+   *  new life of the runner, so that an order which is carried out seconds late
+   *  is refused wherever a later one has arrived. */
+  FencingToken m_fence;
+  bool m_awaitsFence = false;   ///< No contact before m_fence has risen.
   bool m_contacted = false;     ///< Has answered this owner's fencing token.
   RunnerMillis m_clock;         ///< At its last answer.
   TimePoint m_clockAt;          ///< When that answer was read.
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -29,13 +29,14 @@
       }));
 }
 
-void Intend(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
-            RunnerIndex aRunner, RunNumber aRun, TimePoint aNow) {
+/** The task, whose place is reserved, gets its run; the intent is to be stored.
+ */
+void MarkIntended(Cell& aCell, const TaskPlace& aPlace, RunNumber aRun,
+                  TimePoint aNow) {
   Task& task = *aPlace.m_task;
-  Reserve(aCell, aKey, *aPlace.m_step, task, aRunner);
   task.m_phase = TaskPhase::Intended;
   task.m_phaseSince = aNow;
-  aCell.m_runners[aRunner.Value()].m_lastPlacedAt = aNow;
+  aCell.m_runners[task.m_runner.Value()].m_lastPlacedAt = aNow;
   task.m_run = aRun;
   task.m_percent = 0;
   task.m_stopAnswered = false;
@@ -43,12 +44,6 @@
   task.m_intentVersion = aPlace.m_job->m_version;
 }
 
-/** Undoes an intent that was made in this pass. */
-void Withdraw(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace) {
-  Release(aCell, aKey, *aPlace.m_step, *aPlace.m_task);
-  aPlace.m_task->m_phase = TaskPhase::Ready;
-}
-
 PlacementQuery QueryFor(const Cell& aCell, const QueueKey& aKey,
                         const Job& aJob, const StepSpec& aStep) {
   PlacementQuery query;
@@ -187,43 +182,39 @@
 }
 
 /** A gang is placed whole or not at all; its members share one run number. */
-StepResult PlaceGang(Cell& aCell, const QueueKey& aKey, const StepSpec& aStep,
-                     PlacementQuery aQuery, Pass& aPass, TimePoint aNow) {
+StepResult PlaceGang(Cell& aCell, const QueueKey& aKey, PlacementQuery aQuery,
+                     Pass& aPass, TimePoint aNow) {
+  const StepSpec& step = *aQuery.m_step;
+  std::vector<TaskKey> members;
   RunNumber run;
-  for (uint32_t index = 0; index < aStep.m_count; ++index) {
-    const TaskPlace place =
-        FindTask(aCell, {aKey.m_job, aKey.m_occurrence, aKey.m_step, index});
-    if (place.m_task->m_phase != TaskPhase::Ready)
-      return StepResult::NonePlaced;
-    run = std::max(run, place.m_task->m_run);
-  }
-  run = run.Next();
   // All members carry one checkpoint; any member's is that of the gang.
   std::string checkpoint;
-  for (uint32_t index = 0; index < aStep.m_count; ++index) {
-    const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
-    const TaskPlace place = FindTask(aCell, key);
-    if (!place.m_task->m_checkpoint.empty()) {
-      checkpoint = place.m_task->m_checkpoint;
-    }
+  for (uint32_t index = 0; index < step.m_count; ++index) {
+    members.push_back({aKey.m_job, aKey.m_occurrence, aKey.m_step, index});
+    const Task& task = *FindTask(aCell, members.back()).m_task;
+    if (task.m_phase != TaskPhase::Ready) return StepResult::NonePlaced;
+    run = std::max(run, task.m_run);
+    if (!task.m_checkpoint.empty()) checkpoint = task.m_checkpoint;
+  }
+  for (size_t placed = 0; placed < members.size(); ++placed) {
     const RunnerIndex runner = ChooseRunner(aCell, aQuery, aNow);
     if (!runner.IsValid()) {
       ++aPass.m_misses;
-      for (uint32_t earlier = 0; earlier < index; ++earlier) {
-        const TaskKey other{aKey.m_job, aKey.m_occurrence, aKey.m_step,
-                            earlier};
-        Withdraw(aCell, other, FindTask(aCell, other));
+      for (size_t at = 0; at < placed; ++at) {
+        Release(aCell, members[at], step, *FindTask(aCell, members[at]).m_task);
       }
       return StepResult::NonePlaced;
     }
-    if (aStep.m_sameRack && aQuery.m_rack.empty()) {
+    if (step.m_sameRack && aQuery.m_rack.empty()) {
       aQuery.m_rack = aCell.m_runners[runner.Value()].m_rack;
     }
-    Intend(aCell, key, place, runner, run, aNow);
+    Reserve(aCell, members[placed], step,
+            *FindTask(aCell, members[placed]).m_task, runner);
   }
-  for (uint32_t index = 0; index < aStep.m_count; ++index) {
-    FindTask(aCell, {aKey.m_job, aKey.m_occurrence, aKey.m_step, index})
-        .m_task->m_checkpoint = checkpoint;
+  for (const TaskKey& key : members) {
+    const TaskPlace place = FindTask(aCell, key);
+    place.m_task->m_checkpoint = checkpoint;
+    MarkIntended(aCell, place, run.Next(), aNow);
   }
   return StepResult::AllPlaced;
 }
@@ -237,7 +228,7 @@
     if (!step.m_gang) PreemptForStep(aCell, aKey, query, aNow);
     return StepResult::NonePlaced;
   }
-  if (step.m_gang) return PlaceGang(aCell, aKey, step, query, aPass, aNow);
+  if (step.m_gang) return PlaceGang(aCell, aKey, query, aPass, aNow);
   if (step.m_sameRack) query.m_rack = RackOfStep(aCell, job, aKey);
   PlacementTally tally;
   query.m_tally = &tally;
@@ -268,7 +259,8 @@
     if (step.m_sameRack && query.m_rack.empty()) {
       query.m_rack = aCell.m_runners[runner.Value()].m_rack;
     }
-    Intend(aCell, key, place, runner, place.m_task->m_run.Next(), aNow);
+    Reserve(aCell, key, step, *place.m_task, runner);
+    MarkIntended(aCell, place, place.m_task->m_run.Next(), aNow);
     if (step.m_longRunning) {
       racks[aCell.m_runners[runner.Value()].m_rack].m_serving +=
           step.m_need.m_cores;
@@ -351,11 +343,13 @@
           continue;
         }
         const TaskKey key{aJob, number, step, i};
-        const Runner& runner = aCell.m_runners[task.m_runner.Value()];
+        Runner& runner = aCell.m_runners[task.m_runner.Value()];
         if (!IsUsable(runner, ServiceOf(aCell, job.m_spec), aNow)) {
           Requeue(aCell, key, FindTask(aCell, key), aNow);
           continue;
         }
+        // What was sent there earlier and is still under way is shut out.
+        runner.m_fence = std::max(runner.m_fence, aCell.m_newestFence);
         task.m_phase = TaskPhase::Starting;
         task.m_phaseSince = aNow;
         ++aCell.m_counts.m_starts;
--- a/src/core/sched/silence_cmd.cpp
+++ b/src/core/sched/silence_cmd.cpp
@@ -33,13 +33,13 @@
   for (const Runner& runner : aCell.m_runners) {
     if (IsSilent(runner, aNow) == runner.m_lapseStored) continue;
     if (!runner.m_lapseStored && stored >= kMaxStoredSilent) continue;
-    aCell.m_silenceChanged = true;
+    aCell.m_commitWanted = true;
     return;
   }
 }
 
 std::vector<SilentRunner> TakeSilentRunners(Cell& aCell, TimePoint aNow) {
-  aCell.m_silenceChanged = false;
+  aCell.m_commitWanted = false;
   std::vector<SilentRunner> silent;
   for (Runner& runner : aCell.m_runners) {
     if (!IsSilent(runner, aNow) || silent.size() >= kMaxStoredSilent) continue;
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -248,8 +248,12 @@
   return aNow - m_lastCommitSentAt < kAuthority;
 }
 
-bool CellOwner::StepsDown(sched::OrderOutcome aOutcome) {
+bool CellOwner::StepsDown(const RunnerTarget& aTarget,
+                          sched::RunnerIndex aRunner,
+                          sched::OrderOutcome aOutcome) {
   if (aOutcome != sched::OrderOutcome::RefusedFence) return false;
+  // The runner may have had a higher token from this owner since.
+  if (aTarget.m_fence < TargetOf(aRunner).m_fence) return false;
   // A runner has seen a higher token, so another VM owns the cell, although
   // the store may not be there to tell.
   LoseCell("a runner's fence");
@@ -257,8 +261,8 @@
 }
 
 RunnerTarget CellOwner::TargetOf(sched::RunnerIndex aRunner) const {
-  const sched::RunnerEntry& entry = m_cell.m_runners[aRunner.Value()].m_entry;
-  return {entry.m_address, entry.m_id, m_cell.m_fence};
+  const sched::Runner& runner = m_cell.m_runners[aRunner.Value()];
+  return {runner.m_entry.m_address, runner.m_entry.m_id, runner.m_fence};
 }
 
 void CellOwner::SendOrders() {
@@ -283,12 +287,16 @@
   const auto deadline = sched::OrderDeadline(m_cell, runner, now);
   m_log.Write("[cell]", "start task={} run={} runner={} fence={}",
               EncodeTaskName(aOrder.m_task), aOrder.m_run.Value(),
-              runner.m_entry.m_id.Value(), m_cell.m_fence.Value());
+              runner.m_entry.m_id.Value(), runner.m_fence.Value());
+  const RunnerTarget target = TargetOf(aOrder.m_runner);
   m_runners.Start(
-      TargetOf(aOrder.m_runner), aOrder,
-      m_cell.m_jobs.at(aOrder.m_task.m_job).m_spec.m_payload, deadline,
-      [self = shared_from_this(), aOrder](OrderAnswer aAnswer) {
-        if (self->m_ended || self->StepsDown(aAnswer.m_outcome)) return;
+      target, aOrder, m_cell.m_jobs.at(aOrder.m_task.m_job).m_spec.m_payload,
+      deadline,
+      [self = shared_from_this(), aOrder, target](OrderAnswer aAnswer) {
+        if (self->m_ended ||
+            self->StepsDown(target, aOrder.m_runner, aAnswer.m_outcome)) {
+          return;
+        }
         if (aAnswer.m_outcome != sched::OrderOutcome::Applied) {
           self->m_log.Write("[cell]", "start answer task={} run={} error={}",
                             EncodeTaskName(aOrder.m_task), aOrder.m_run.Value(),
@@ -301,18 +309,22 @@
 }
 
 void CellOwner::SendOrder(const sched::StopOrder& aOrder) {
-  if (TargetOf(aOrder.m_runner).m_address.empty()) return;
+  const RunnerTarget target = TargetOf(aOrder.m_runner);
+  if (target.m_address.empty()) return;
   m_log.Write("[cell]", "stop task={} run={} runner={}",
               EncodeTaskName(aOrder.m_task), aOrder.m_run.Value(),
-              TargetOf(aOrder.m_runner).m_id.Value());
-  m_runners.Stop(TargetOf(aOrder.m_runner), aOrder,
-                 [self = shared_from_this(), aOrder](OrderAnswer aAnswer) {
-                   if (self->m_ended || self->StepsDown(aAnswer.m_outcome))
-                     return;
-                   sched::ApplyStopAnswer(self->m_cell, aOrder,
-                                          aAnswer.m_outcome, BootNow());
-                   self->SchedulePump();
-                 });
+              target.m_id.Value());
+  m_runners.Stop(
+      target, aOrder,
+      [self = shared_from_this(), aOrder, target](OrderAnswer aAnswer) {
+        if (self->m_ended ||
+            self->StepsDown(target, aOrder.m_runner, aAnswer.m_outcome)) {
+          return;
+        }
+        sched::ApplyStopAnswer(self->m_cell, aOrder, aAnswer.m_outcome,
+                               BootNow());
+        self->SchedulePump();
+      });
 }
 
 void CellOwner::SendOrder(const sched::PaceOrder& aOrder) {
@@ -334,8 +346,11 @@
     const auto order = sched::NextHold(m_cell, sched::RunnerIndex(at), now);
     if (!order) continue;
     m_runners.Hold(*order, [self = shared_from_this(), runner = order->m_runner,
+                            target = TargetOf(order->m_runner),
                             sentAt = now](HoldAnswer aAnswer) {
-      if (self->m_ended || self->StepsDown(aAnswer.m_outcome)) return;
+      if (self->m_ended || self->StepsDown(target, runner, aAnswer.m_outcome)) {
+        return;
+      }
       const TimePoint answeredAt = BootNow();
       if (aAnswer.m_outcome == sched::OrderOutcome::Applied) {
         sched::ApplyReport(self->m_cell, runner, aAnswer.m_report, sentAt,
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -98,7 +98,8 @@
   [[nodiscard]] bool HasAuthority(TimePoint aNow) const;
   /** @return whether the outcome shows that this daemon is no longer the owner.
    */
-  bool StepsDown(sched::OrderOutcome aOutcome);
+  bool StepsDown(const RunnerTarget& aTarget, sched::RunnerIndex aRunner,
+                 sched::OrderOutcome aOutcome);
 
   void StartCommit();
   /** The silent runners of m_commit, by the store's clock. */
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -137,6 +137,7 @@
     m_log.Write("[store]", "regained cell={} tries={}", m_cellId.Value(),
                 m_commitTries);
   }
+  m_cell.m_newestFence = FencingToken(aVersion.Value());
   sched::ApplyCommitted(m_cell, m_commit, BootNow());
   AnswerWaiters();
   if (m_ownerRow.m_vm.empty()) {
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -45,6 +45,7 @@
 sched::CellSettings SettingsOf(const NodeConfig& aConfig) {
   constexpr int64_t kLeasePercent = 75;
   sched::CellSettings settings;
+  settings.m_leaseCap = aConfig.m_maxLease;
   settings.m_maxLease = aConfig.m_maxLease;
   // Shorter than the longest lease, so that what ran on a lost runner is
   // started elsewhere earlier; long enough to outlast a takeover.
--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -51,6 +51,28 @@
   BOOST_TEST(m_cell.m_runners[0].m_storedEnd.Value() == 1U);
 }
 
+/** Guards against a renewal that makes a runner's new life forget an end that
+ *  nobody has read: it would be started again after its end (found by
+ *  sched_property_test, seed 137066389292558). */
+BOOST_AUTO_TEST_CASE(EndsAreAcknowledgedOnlyOfAKnownLife) {
+  const RunnerIndex runner = AddRunner("a");
+  Submit(Spec(1, 2));
+  StartAll();
+  Report(
+      runner, {{{JobId(1), 0, 0, 1}, RunNumber(1), "", 10, 0}},
+      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  CommitAll();
+  Pass(milliseconds(20));
+  const auto fresh = NextHold(m_cell, runner, m_now);
+  BOOST_REQUIRE(fresh.has_value());
+  BOOST_TEST(fresh->m_lastSeen.Value() == 1U);
+  ApplyHoldFailure(m_cell, runner, OrderOutcome::Unknown, m_now);
+  Pass(milliseconds(500));
+  const auto later = NextHold(m_cell, runner, m_now);
+  BOOST_REQUIRE(later.has_value());
+  BOOST_TEST(later->m_lastSeen.Value() == 0U);
+}
+
 /** Guards against counting one failed run twice when the owner ends between
  *  the commit and the acknowledgement (found by scale-1 --seed 772). */
 BOOST_AUTO_TEST_CASE(FailedRunCountsOnceAcrossTakeover) {
@@ -288,11 +310,44 @@
   report.m_clock = RunnerMillis(5);
   report.m_born = UnixMillis(2);
   ApplyReport(m_cell, runner, report, m_now, m_now);
+  // The new life gets a higher fence before anything is placed there.
+  BOOST_TEST(StartAll().empty());
+  BOOST_TEST(HasCommit(m_cell) == false);
+  BOOST_TEST(!NextHold(m_cell, runner, m_now).has_value());
+  m_cell.m_newestFence = FencingToken(20);
+  const auto hold = NextHold(m_cell, runner, m_now);
+  BOOST_REQUIRE(hold.has_value());
+  BOOST_TEST(hold->m_fence.Value() == 20U);
+  ApplyReport(m_cell, runner, report, m_now, m_now);
   const auto starts = StartAll();
   BOOST_REQUIRE_EQUAL(starts.size(), 1U);
   BOOST_TEST(starts[0].m_run.Value() == 2U);
 }
 
+/** Guards against a second run while a start without an answer may still be
+ *  carried out by the runner's new life, and against a late renewal that makes
+ *  the new life forget ends (found by sched_property_test). */
+BOOST_AUTO_TEST_CASE(UnansweredStartOutlivesTheRunnersLife) {
+  const RunnerIndex runner = AddRunner("a");
+  AddRunner("b");
+  Submit(Spec(1));
+  const auto starts = StartAll(OrderOutcome::Unknown);
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  const RunnerIndex used = starts[0].m_runner;
+  RunnerEntry entry = m_cell.m_runners[used.Value()].m_entry;
+  entry.m_born = UnixMillis(2);
+  UpdateRunner(m_cell, entry, m_now);
+  BOOST_TEST(StartAll().empty());
+  m_cell.m_newestFence = FencingToken(20);
+  BOOST_REQUIRE(NextHold(m_cell, used, m_now).has_value());
+  RunnerReport report;
+  report.m_clock = RunnerMillis(5);
+  report.m_born = UnixMillis(2);
+  ApplyReport(m_cell, used, report, m_now, m_now);
+  BOOST_TEST(StartAll().size() == 1U);
+  static_cast<void>(runner);
+}
+
 /** Guards against a run that no stored intent asks for: an order of an earlier
  *  owner that a runner carried out late. */
 BOOST_AUTO_TEST_CASE(UnknownRunIsStopped) {
@@ -424,6 +479,9 @@
   Submit(std::move(spec));
   BOOST_TEST(StartAll().empty());
   BOOST_TEST((m_cell.m_runners[0].m_reserved == Resources()));
+  // A search in vain changes nothing that would have to be stored.
+  BOOST_TEST(!HasCommit(m_cell));
+  BOOST_TEST(TaskOf(1).m_run.Value() == 0U);
   AddRunner("b", 8000);
   const auto starts = StartAll();
   BOOST_REQUIRE_EQUAL(starts.size(), 3U);
--- a/tests/core/sched/urgency_test.cpp
+++ b/tests/core/sched/urgency_test.cpp
@@ -243,6 +243,29 @@
   BOOST_TEST(StartAll().size() == 1U);
 }
 
+/** Guards against room that is given away while a needless run is being
+ * stopped: its task has ended elsewhere (found by sched_property_test, seed
+ * 248424128).
+ */
+BOOST_AUTO_TEST_CASE(NothingIsPlacedBesideARunThatIsBeingStopped) {
+  const RunnerIndex first = AddRunner("a", 4000);
+  Submit(Spec(1, 1));
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 1U);
+  BOOST_REQUIRE(NextHold(m_cell, first, m_now).has_value());
+  ApplyHoldFailure(m_cell, first, OrderOutcome::Unknown, m_now);
+  Pass(seconds(15));
+  AdvanceRunners(m_cell, m_now);
+  const RunnerIndex second = AddRunner("b", 4000);
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 1U);
+  Report(
+      first, {},
+      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  Submit(Spec(2, 2));
+  BOOST_TEST(StartAll().size() == 1U);
+  Report(second, {}, {});
+  BOOST_TEST(StartAll().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
