sched: another instance at a runner's address ends its runs at once

The other instance refuses orders to the old one, so nothing has to be waited for.

Test: OtherInstanceEndsTheRunsAtOnce.

--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -114,10 +114,9 @@
 
 }  // namespace
 
-void ForgetLife(Cell& aCell, Runner& aRunner, TimePoint aNow) {
-  ForgetRuns(aCell, aRunner, aNow);
-  aRunner.m_awaitsFence = true;
-  aCell.m_commitWanted = true;
+namespace {
+
+void ResetView(Runner& aRunner, TimePoint aNow) {
   aRunner.m_contacted = false;
   aRunner.m_lastDeadline = RunnerMillis();
   aRunner.m_readEnd = EndNumber();
@@ -136,6 +135,20 @@
   aRunner.m_nextHoldAt = aNow;
 }
 
+}  // namespace
+
+void ForgetLife(Cell& aCell, Runner& aRunner, TimePoint aNow) {
+  ForgetRuns(aCell, aRunner, aNow);
+  aRunner.m_awaitsFence = true;
+  aCell.m_commitWanted = true;
+  ResetView(aRunner, aNow);
+}
+
+void EndInstance(Cell& aCell, Runner& aRunner, TimePoint aNow) {
+  DropRuns(aCell, aRunner, aNow, "other-instance");
+  ResetView(aRunner, aNow);
+}
+
 RunnerIndex UpdateRunner(Cell& aCell, const RunnerEntry& aEntry,
                          TimePoint aNow) {
   const RunnerIndex index = RunnerByName(aCell, aEntry.m_id, aNow);
@@ -252,7 +265,7 @@
                                 : runner.m_refused ? kRefusedRetry
                                                    : kHoldRetry);
   if (aOutcome == OrderOutcome::WrongInstance) {
-    ForgetLife(aCell, runner, aNow);
+    EndInstance(aCell, runner, aNow);
     runner.m_nextHoldAt = aNow + kRefusedRetry;
   }
 }
@@ -304,7 +317,7 @@
   Task& task = *place.m_task;
   if (task.m_run != aOrder.m_run || task.m_runner != aOrder.m_runner) return;
   if (aOutcome == OrderOutcome::WrongInstance) {
-    ForgetLife(aCell, aCell.m_runners[aOrder.m_runner.Value()], aNow);
+    EndInstance(aCell, aCell.m_runners[aOrder.m_runner.Value()], aNow);
     return;
   }
   if (aOutcome != OrderOutcome::Applied) return;
--- a/src/core/sched/runner_internal.h
+++ b/src/core/sched/runner_internal.h
@@ -10,9 +10,14 @@
 
 namespace bronze::sched {
 
-/** Another life of the runner has begun: all that it ran is gone. */
+/** Another life of the runner has begun under its id. What the earlier one ran
+ *  is gone, but orders to it may still be carried out. */
 void ForgetLife(Cell& aCell, Runner& aRunner, TimePoint aNow);
 
+/** Another instance answers at the runner's address: all that it ran is gone,
+ *  and orders to it that are still under way are refused there. */
+void EndInstance(Cell& aCell, Runner& aRunner, TimePoint aNow);
+
 /** Notes a lease end that may come into force. */
 void NoteDeadline(Runner& aRunner, RunnerMillis aDeadline);
 
--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -324,6 +324,23 @@
   BOOST_TEST(starts[0].m_run.Value() == 2U);
 }
 
+/** Guards against tasks that are never started again because another instance
+ *  answers at their runner's address: that one refuses orders to the old one,
+ * so nothing has to be waited for (found by scale-2). */
+BOOST_AUTO_TEST_CASE(OtherInstanceEndsTheRunsAtOnce) {
+  AddRunner("a");
+  AddRunner("b");
+  Submit(Spec(1));
+  const auto starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  const RunnerIndex used = starts[0].m_runner;
+  BOOST_REQUIRE(NextHold(m_cell, used, m_now).has_value());
+  ApplyHoldFailure(m_cell, used, OrderOutcome::WrongInstance, m_now);
+  const auto again = StartAll();
+  BOOST_REQUIRE_EQUAL(again.size(), 1U);
+  BOOST_TEST((again[0].m_runner != used));
+}
+
 /** Guards against a second run while a start without an answer may still be
  *  carried out by the runner's new life, and against a late renewal that makes
  *  the new life forget ends (found by sched_property_test). */
