scheduler: settings are read again on a signal and on a change; logs of all VMs are written out

Cause: VMs that own no cell wrote their log only with errors, so the acceptance of a job was missing in it; a changed settings file was only logged. A file that cannot be read leaves the old settings in force; a name or an address takes effect at a start.

Test: BadSettingsLeaveTheOldOnesInForce.

--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -127,7 +127,7 @@
       fmt::format("settings: {}", fmt::join(reader.Problems(), "; ")));
 }
 
-Result<NodeConfig> ReadNodeConfig(const std::string& aPath) {
+Result<std::string> ReadSettingsText(const std::string& aPath) {
   std::ifstream file(aPath);
   if (!file) {
     return MakeError(ErrorKind::FileUnreadable,
@@ -135,7 +135,7 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  return DecodeNodeConfig(text.str());
+  return text.str();
 }
 
 }  // namespace bronze
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -26,15 +26,17 @@
   Duration m_maxLease{};         ///< A runner shortens longer leases.
   double m_spreadFactor = 1.0;   ///< Run time away from the data's rack.
   Duration m_statusRetention{};  ///< Ended jobs stay known this long.
+
+  friend bool operator==(const NodeConfig&, const NodeConfig&) = default;
 };
 
 /** Environment variable that holds the path of the settings file. */
 inline constexpr char kSettingsVariable[] = "BRONZEWORKS_CONFIG";
 
-/** Reads the file; all problems are named in one error. */
-[[nodiscard]] Result<NodeConfig> ReadNodeConfig(const std::string& aPath);
+/** @return the text of the settings file. */
+[[nodiscard]] Result<std::string> ReadSettingsText(const std::string& aPath);
 
-/** Decodes the text of such a file. */
+/** Decodes the text of such a file; all problems are named in one error. */
 [[nodiscard]] Result<NodeConfig> DecodeNodeConfig(const std::string& aText);
 
 }  // namespace bronze
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -47,7 +47,7 @@
     m_cell.m_settings.m_maxLease =
         std::min(aSettings.m_maxLease, m_ownerRow.m_lease);
   }
-  m_ownerRow.m_lease = std::max(m_ownerRow.m_lease, aSettings.m_lease);
+  SetSettings(m_cell.m_settings);
   m_cell.m_fence = FencingToken(aOwnerVersion.Value());
   m_lastCommitSentAt = BootNow();
 }
@@ -167,6 +167,14 @@
   SchedulePump();
 }
 
+void CellOwner::SetSettings(const sched::CellSettings& aSettings) {
+  // What earlier owners may have ordered does not change with the settings.
+  const Duration earlierLease = m_cell.m_settings.m_maxLease;
+  m_cell.m_settings = aSettings;
+  m_cell.m_settings.m_maxLease = earlierLease;
+  m_ownerRow.m_lease = std::max(m_ownerRow.m_lease, aSettings.m_lease);
+}
+
 void CellOwner::SetConfig(const sched::LiveConfig& aConfig) {
   sched::ApplyLiveConfig(m_cell, aConfig);
   SchedulePump();
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -50,6 +50,8 @@
   /** Loads the stored jobs, then begins to act. */
   void Start();
 
+  void SetSettings(const sched::CellSettings& aSettings);
+
   /** A configuration is in force on this VM. */
   void SetConfig(const sched::LiveConfig& aConfig);
 
--- a/src/scheduler/cell_seat.cpp
+++ b/src/scheduler/cell_seat.cpp
@@ -46,6 +46,11 @@
 
 void CellSeat::Start() { Poll(); }
 
+void CellSeat::SetSettings(const sched::CellSettings& aSettings) {
+  m_settings = aSettings;
+  if (m_owner) m_owner->SetSettings(aSettings);
+}
+
 void CellSeat::SetConfig(std::shared_ptr<const sched::LiveConfig> aConfig) {
   m_config = std::move(aConfig);
   if (m_owner) m_owner->SetConfig(*m_config);
--- a/src/scheduler/cell_seat.h
+++ b/src/scheduler/cell_seat.h
@@ -35,6 +35,9 @@
 
   void Start();
 
+  /** New settings; an owner takes them at once. */
+  void SetSettings(const sched::CellSettings& aSettings);
+
   /** The configuration in force on this VM; an owner is told of it. */
   void SetConfig(std::shared_ptr<const sched::LiveConfig> aConfig);
 
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -31,6 +31,9 @@
 /** A takeover takes some seconds; a caller that comes back after this finds
  *  the new owner in most cases. */
 constexpr Duration kRetryAfter = seconds(1);
+/** Bounds the age of lines that are not written yet, and how late a change of
+ *  the settings file without a signal is seen. */
+constexpr Duration kHousekeepingPause = seconds(1);
 constexpr char kPeerPath[] = "/peer/call";
 /** Part of the time between SIGTERM and SIGKILL after which the process ends;
  *  calls in progress are answered until then. */
@@ -71,13 +74,16 @@
 
 }  // namespace
 
-EntryNode::EntryNode(const NodeConfig& aConfig, uint64_t aIncarnation)
+EntryNode::EntryNode(const NodeConfig& aConfig, uint64_t aIncarnation,
+                     SettingsReader aReadSettings)
     : m_config(aConfig),
+      m_readSettings(std::move(aReadSettings)),
       m_log(STDOUT_FILENO, aConfig.m_vm.Value()),
       m_store(m_context, aConfig.m_storeAddress, BootNow),
       m_runners(m_context),
       m_peers(m_context, kIdlePerPeer, kMaxPeerAnswer),
       m_drainTimer(m_context),
+      m_housekeepingTimer(m_context),
       m_liveConfig(std::make_shared<const sched::LiveConfig>()) {
   const NodeIdentity identity{aConfig.m_vm, aIncarnation,
                               AddressText(aConfig.m_peerAddress),
@@ -98,6 +104,8 @@
               AddressText(m_config.m_peerAddress));
   m_operatorWatch->Start();
   for (const auto& seat : m_seats) seat->Start();
+  if (auto text = m_readSettings()) m_settingsText = std::move(text.value());
+  Housekeep();
   const auto work = boost::asio::make_work_guard(m_context);
   m_context.run();
   m_log.Write("[main]", "ended");
@@ -343,6 +351,11 @@
                 fmt::format("caller_answers_total{{result=\"{}\"}}", name),
                 count);
   }
+  for (const auto& [result, count] : m_reloads) {
+    AppendCount(text,
+                fmt::format("settings_reloads_total{{result=\"{}\"}}", result),
+                count);
+  }
   AppendCount(text, "store_calls_total", m_store.Calls());
   AppendCount(text, "store_failures_total", m_store.Failures());
   AppendCount(text, "log_dropped_total", m_log.Dropped());
@@ -362,12 +375,61 @@
 }
 
 void EntryNode::PostReload() {
-  boost::asio::post(m_context, [this] {
-    m_log.Write("[main]", "reload: the settings take effect at a start");
-    m_log.Flush();
+  boost::asio::post(m_context, [this] { Reload(true); });
+}
+
+void EntryNode::Housekeep() {
+  m_log.Flush();
+  Reload(false);
+  m_housekeepingTimer.expires_after(kHousekeepingPause);
+  m_housekeepingTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) Housekeep();
   });
 }
 
+void EntryNode::Reload(bool aAsked) {
+  auto text = m_readSettings();
+  if (!text) {
+    // A file that is being replaced may be missing for a moment.
+    if (!aAsked) return;
+    ++m_reloads["refused"];
+    m_log.Write("[main]", "reload refused error={}", text.error().m_message);
+    return;
+  }
+  if (text.value() == m_settingsText && !aAsked) return;
+  m_settingsText = std::move(text.value());
+  const auto config = DecodeNodeConfig(m_settingsText);
+  if (!config) {
+    ++m_reloads["refused"];
+    m_log.Write("[main]", "reload refused error={}", config.error().m_message);
+    return;
+  }
+  if (config.value() == m_config) {
+    ++m_reloads["unchanged"];
+    m_log.Write("[main]", "reload without a change");
+    return;
+  }
+  ApplySettings(config.value());
+}
+
+void EntryNode::ApplySettings(const NodeConfig& aConfig) {
+  NodeConfig applied = aConfig;
+  applied.m_vm = m_config.m_vm;
+  applied.m_callerAddress = m_config.m_callerAddress;
+  applied.m_readyAddress = m_config.m_readyAddress;
+  applied.m_peerAddress = m_config.m_peerAddress;
+  applied.m_storeAddress = m_config.m_storeAddress;
+  const bool whole = applied == aConfig;
+  m_config = applied;
+  for (const auto& seat : m_seats) seat->SetSettings(SettingsOf(m_config));
+  ++m_reloads["applied"];
+  m_log.Write(
+      "[main]", "reload applied max_lease_ms={} spread={} restart={}",
+      std::chrono::duration_cast<milliseconds>(m_config.m_maxLease).count(),
+      m_config.m_spreadFactor,
+      whole ? "no" : "needed for the name or an address");
+}
+
 void EntryNode::Drain() {
   if (m_draining) return;
   m_draining = true;
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -20,9 +20,13 @@
 
 namespace bronze {
 
+/** Reads the text of the settings file. */
+using SettingsReader = std::function<Result<std::string>()>;
+
 class EntryNode {
  public:
-  EntryNode(const NodeConfig& aConfig, uint64_t aIncarnation);
+  EntryNode(const NodeConfig& aConfig, uint64_t aIncarnation,
+            SettingsReader aReadSettings);
 
   /** Runs the control loop until the process is to end. */
   void Run();
@@ -54,7 +58,15 @@
   [[nodiscard]] std::string Metrics() const;
   void Drain();
 
-  NodeConfig m_config;
+  /** Writes out the log and looks for changed settings, once a second. */
+  void Housekeep();
+  /** @param aAsked by a signal: a file without a change is logged, too. */
+  void Reload(bool aAsked);
+  void ApplySettings(const NodeConfig& aConfig);
+
+  NodeConfig m_config;  ///< In force; a file that cannot be read changes none.
+  SettingsReader m_readSettings;
+  std::string m_settingsText;  ///< As last read.
   boost::asio::io_context m_context;
   EventLog m_log;
   StoreClient m_store;
@@ -63,6 +75,7 @@
   std::vector<std::shared_ptr<CellSeat>> m_seats;  ///< Indexed by CellId.
   std::shared_ptr<TableWatch> m_operatorWatch;
   boost::asio::steady_timer m_drainTimer;
+  boost::asio::steady_timer m_housekeepingTimer;
 
   std::mutex m_configMutex;  ///< Guards m_liveConfig, which traffic reads.
   std::shared_ptr<const sched::LiveConfig> m_liveConfig;
@@ -70,6 +83,7 @@
   bool m_draining = false;
   LatencyHistogram m_answerTimes;  ///< Of callers' requests, in this VM.
   std::map<std::string, uint64_t> m_answers;  ///< By verb and result.
+  std::map<std::string, uint64_t> m_reloads;  ///< By result.
 };
 
 }  // namespace bronze
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -59,10 +59,11 @@
   return limits;
 }
 
-int Serve(const bronze::NodeConfig& aConfig) {
+int Serve(const bronze::NodeConfig& aConfig, const std::string& aPath) {
   bronze::Counters counters;
   bronze::ThreadPool threads(kTrafficThreads);
-  bronze::EntryNode node(aConfig, NewIncarnation());
+  bronze::EntryNode node(aConfig, NewIncarnation(),
+                         [aPath] { return bronze::ReadSettingsText(aPath); });
   bronze::HttpServer callers(
       threads, Limits(), counters,
       [&node](size_t, bronze::HttpCall aCall, auto aResponder) {
@@ -118,9 +119,11 @@
 int main(int argc, char** argv) {
   const auto args = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
   std::signal(SIGPIPE, SIG_IGN);
-  const auto config =
-      bronze::ReadNodeConfig(SettingsPath(args.at("--settings")));
+  const std::string path = SettingsPath(args.at("--settings"));
+  const auto text = bronze::ReadSettingsText(path);
+  if (!text) return Fail(text.error());
+  const auto config = bronze::DecodeNodeConfig(text.value());
   if (!config) return Fail(config.error());
   if (args.at("--check").asBool()) return 0;
-  return Serve(config.value());
+  return Serve(config.value(), path);
 }
--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -50,7 +50,8 @@
     config.m_peerAddress = m_peers.Listen(any).value();
     static std::atomic<uint64_t> sIncarnation = 0;
     m_address = config.m_callerAddress;
-    m_node = std::make_unique<EntryNode>(config, ++sIncarnation);
+    m_node = std::make_unique<EntryNode>(config, ++sIncarnation,
+                                         [this] { return SettingsText(); });
     m_thread = std::thread([this] { m_node->Run(); });
   }
   ~RunningNode() { Stop(); }
@@ -65,11 +66,43 @@
     m_threads.Stop();
   }
 
+  /** Replaces the settings file and sends the signal. */
+  void Reload(const std::string& aText) {
+    {
+      const std::lock_guard<std::mutex> lock(m_settingsMutex);
+      m_settingsText = aText;
+    }
+    m_node->PostReload();
+  }
+
+  /** The process's metrics as text. */
+  [[nodiscard]] std::string Metrics() {
+    std::promise<std::string> text;
+    struct Keeper : HttpResponder {
+      explicit Keeper(std::promise<std::string>& aText) : m_text(aText) {}
+      void Reply(HttpReply aReply) override { m_text.set_value(aReply.m_body); }
+      void Abort() override { m_text.set_value(""); }
+      void OnSenderGone(std::function<void()>) override {}
+      std::promise<std::string>& m_text;
+    };
+    HttpCall call;
+    call.m_target = "/metrics";
+    m_node->HandleHealth(call, std::make_shared<Keeper>(text));
+    return text.get_future().get();
+  }
+
   [[nodiscard]] const boost::asio::ip::tcp::endpoint& Address() const {
     return m_address;
   }
 
  private:
+  Result<std::string> SettingsText() {
+    const std::lock_guard<std::mutex> lock(m_settingsMutex);
+    return m_settingsText;
+  }
+
+  std::mutex m_settingsMutex;
+  std::string m_settingsText;
   Counters m_counters;
   ThreadPool m_threads;
   std::unique_ptr<EntryNode> m_node;
--- a/tests/scheduler/scheduler_store_test.cpp
+++ b/tests/scheduler/scheduler_store_test.cpp
@@ -185,6 +185,34 @@
   for (const auto& [task, count] : Starts()) BOOST_TEST(count <= 3, task);
 }
 
+/** Guards against a damaged settings file that ends the process or replaces
+ * what is in force. */
+BOOST_AUTO_TEST_CASE(BadSettingsLeaveTheOldOnesInForce) {
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, kJob));
+  node.Reload("node_name: [");
+  BOOST_TEST(Eventually([&] {
+    return node.Metrics().find(
+               "settings_reloads_total{result=\"refused\"} 1") !=
+           std::string::npos;
+  }));
+  BOOST_TEST(Submit(node, "00000000000000a9").m_status == 200);
+  node.Reload(R"(node_name: n1
+zone: z
+ip: 127.0.0.1
+listen: {front: "127.0.0.1:1", ready: "127.0.0.1:2"}
+port_range: [3, 4]
+platform: {address: "127.0.0.1:5"}
+bounds: {grace_s: 0.6, max_hold_ms: 5000}
+)");
+  BOOST_TEST(Eventually([&] {
+    return node.Metrics().find(
+               "settings_reloads_total{result=\"applied\"} 1") !=
+           std::string::npos;
+  }));
+  BOOST_TEST(BecomesCompleted(node, "00000000000000a9"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
