sched: a task that lasts is owed a run after a takeover, too

Ruled out: the waiting for leases, which ended 0.1 s after the takeover. The run number, which is stored with the intent, decides now.

Test: LostTaskIsOwedARunAfterATakeover, failed before.

--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -242,7 +242,9 @@
     const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task->m_phase != TaskPhase::Ready) continue;
-    if (step.m_longRunning && !job.m_anyStarted &&
+    // The run number is stored with the intent, unlike the start itself.
+    const bool isNew = !job.m_anyStarted && place.m_task->m_run.Value() == 0;
+    if (step.m_longRunning && isNew &&
         !LeavesShortReserve(aCell, step, query, aNow)) {
       return any ? StepResult::SomeLeft : StepResult::NonePlaced;
     }
--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -540,6 +540,24 @@
   BOOST_TEST(StartAll().size() == 32U - started);
 }
 
+/** Guards against a task that lasts, has lost its run together with its owner,
+ *  and is held back for the reserve like one of a new job (found by a hunt,
+ *  lost-runners-then-owner --seed 34306353996). */
+BOOST_AUTO_TEST_CASE(LostTaskIsOwedARunAfterATakeover) {
+  AddRunner("a", 64000);
+  JobSpec spec = Spec(1, 4);
+  spec.m_steps[0].m_longRunning = true;
+  spec.m_steps[0].m_need.m_cores = Millicores(15500);
+  Submit(spec);
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 4U);
+  TakeOver();
+  AddRunner("b", 64000);
+  Pass(seconds(12));
+  AdvanceRunners(m_cell, m_now);
+  // 62 of 64 cores leave less than the reserve, which holds back new jobs.
+  BOOST_TEST(StartAll().size() == 4U);
+}
+
 /** Guards against growth of memory by jobs that ended long ago. */
 BOOST_AUTO_TEST_CASE(EndedJobsAreRemovedAfterTheRetention) {
   const RunnerIndex runner = AddRunner("a");
