--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -549,7 +549,9 @@
   spec.m_steps[0].m_longRunning = true;
   spec.m_steps[0].m_need.m_cores = Millicores(15500);
   Submit(spec);
-  BOOST_REQUIRE_EQUAL(StartAll().size(), 4U);
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 3U);
+  m_cell.m_capacityChanged = true;
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 1U);
   TakeOver();
   AddRunner("b", 64000);
   Pass(seconds(12));
