sched: queues with advice: only approved runners get a step's tasks, with their ticket

Tickets end with their time or the runner's life; a refused one is asked for again.

Open: calls of the owner's VM alone reach the service, which handles them in turn.

--- a/src/codec/job_cbor.cpp
+++ b/src/codec/job_cbor.cpp
@@ -93,6 +93,19 @@
   return step;
 }
 
+Json AdviceJson(const std::optional<sched::AdvicePolicy>& aAdvice) {
+  if (!aAdvice) return Json::array();
+  return Json::array({aAdvice->m_decision.count(), aAdvice->m_perRunner.count(),
+                      aAdvice->m_valid.count()});
+}
+
+std::optional<sched::AdvicePolicy> AdviceFrom(const Json& aJson) {
+  if (aJson.empty()) return {};
+  return sched::AdvicePolicy{Duration(aJson.at(0).get<int64_t>()),
+                             Duration(aJson.at(1).get<int64_t>()),
+                             Duration(aJson.at(2).get<int64_t>())};
+}
+
 JobSpec SpecFrom(const Json& aJson) {
   JobSpec spec;
   spec.m_id = JobId(aJson.at(1).get<uint64_t>());
@@ -109,6 +122,7 @@
   spec.m_acceptedAt = sched::UnixMillis(aJson.at(12).get<int64_t>());
   for (const Json& step : aJson.at(13)) spec.m_steps.push_back(StepFrom(step));
   spec.m_policy.m_configVersion = ConfigVersion(aJson.at(14).get<uint64_t>());
+  spec.m_policy.m_advice = AdviceFrom(aJson.at(15));
   return spec;
 }
 
@@ -187,7 +201,8 @@
                    aSpec.m_policy.m_targetLatency.count(), aSpec.m_payload,
                    aSpec.m_maxRuns, aSpec.m_startTime.Value(),
                    aSpec.m_intervalMs, aSpec.m_acceptedAt.Value(), steps,
-                   aSpec.m_policy.m_configVersion.Value()}));
+                   aSpec.m_policy.m_configVersion.Value(),
+                   AdviceJson(aSpec.m_policy.m_advice)}));
 }
 
 Result<JobSpec> DecodeJobSpec(std::string_view aBytes) {
--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -66,6 +66,7 @@
   RunNumber m_run;
   RunnerIndex m_runner;
   std::string m_checkpoint;
+  std::string m_ticket;  ///< Empty: the queue asks for none.
 };
 struct StopOrder {
   TaskKey m_task;
@@ -79,12 +80,20 @@
   int m_percent = 100;
 };
 
+/** A question which of these runners may run the step. */
+struct AdviceOrder {
+  StepKey m_step;
+  std::vector<RunnerIndex> m_runners;
+  AdvicePolicy m_policy;
+};
+
 /** A line of the log, with the ids and inputs that a person needs. */
 struct Decision {
   std::string m_text;
 };
 
-using Order = std::variant<StartOrder, StopOrder, PaceOrder, Decision>;
+using Order =
+    std::variant<StartOrder, StopOrder, PaceOrder, AdviceOrder, Decision>;
 
 /** Position in the queue of steps that have tasks to place. */
 struct QueueKey {
@@ -112,6 +121,24 @@
   uint64_t m_quarantines = 0;
   uint64_t m_rejectedStarts = 0;
   uint64_t m_preemptions = 0;
+  uint64_t m_adviceAsked = 0;
+  uint64_t m_adviceFailed = 0;
+};
+
+/** A runner that may run a step, with the proof that it asks for. */
+struct Approval {
+  UnixMillis m_born;  ///< Of the life that it holds for.
+  std::string m_ticket;
+  TimePoint m_validUntil;
+};
+
+/** What the advice service has said of one step. Which runners it approves does
+ *  not change, but a ticket runs out. */
+struct StepAdvice {
+  std::map<RunnerIndex, Approval> m_approvals;
+  std::set<RunnerIndex> m_refused;
+  bool m_pending = false;  ///< A call is under way.
+  TimePoint m_notBefore;   ///< Pause after a call that failed.
 };
 
 /** The pool that serves a queue, and the configuration that says so. */
@@ -133,8 +160,10 @@
   std::set<JobId> m_dirty;     ///< m_version > m_storedVersion.
   std::set<std::pair<UnixMillis, JobId>> m_scheduled;  ///< Next due times.
   std::set<std::pair<TimePoint, JobId>> m_ended;       ///< For removal.
-  std::vector<JobId> m_removed;           ///< Rows to delete from the store.
-  std::vector<Order> m_orders;            ///< To be sent, in order.
+  std::vector<JobId> m_removed;  ///< Rows to delete from the store.
+  std::vector<Order> m_orders;   ///< To be sent, in order.
+  std::map<StepKey, StepAdvice> m_advice;
+  uint32_t m_adviceCalls = 0;             ///< Under way.
   std::map<QueueId, uint32_t> m_pending;  ///< Jobs of which nothing started.
   std::map<QueueId, QueueService> m_queueServices;  ///< By the newest
                                                     ///< configuration.
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 
+#include "core/sched/advice_cmd.h"
 #include "core/sched/task_internal.h"
 
 namespace bronze::sched {
@@ -176,6 +177,7 @@
   if (aJob.m_phase != JobPhase::Active) {
     aCell.m_ended.erase({aJob.m_endedAt, id});
   }
+  ForgetAdvice(aCell, id);
   aCell.m_dirty.erase(id);
   aCell.m_jobs.erase(id);
 }
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -30,6 +30,13 @@
 using UnixMillis =
     Quantity<struct UnixMillisTag>;  ///< Since 1970, time of day.
 
+/** Cost and validity of advice on which runners may run a step. */
+struct AdvicePolicy {
+  Duration m_decision{};   ///< Time that each call takes.
+  Duration m_perRunner{};  ///< And for each runner that it names.
+  Duration m_valid{};      ///< A ticket is accepted this long.
+};
+
 /** What the configuration says of a queue; a job keeps it from acceptance. */
 struct QueuePolicy {
   ConfigVersion m_configVersion;  ///< The configuration that says this.
@@ -38,6 +45,8 @@
   uint32_t m_maxAttempts = 1;  ///< Failed runs after which a task has failed.
   double m_stretch = 1.0;      ///< Objective as a multiple of the chain.
   Duration m_targetLatency{};  ///< Added to the objective.
+  /** Set: only runners that the advice service approves may run a step. */
+  std::optional<AdvicePolicy> m_advice;
 };
 
 struct StepSpec {
@@ -82,6 +91,15 @@
   friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
 };
 
+/** Names a step of one occurrence. */
+struct StepKey {
+  JobId m_job;
+  uint32_t m_occurrence = 0;
+  uint32_t m_step = 0;
+
+  friend auto operator<=>(const StepKey&, const StepKey&) = default;
+};
+
 /** Index into the cell's table of runners. */
 using RunnerIndex = NumberId<struct RunnerIndexTag, uint32_t>;
 
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -150,6 +150,7 @@
       !HasLabel(aRunner, step.m_requiredLabel)) {
     return false;
   }
+  if (aQuery.m_isApproved && !aQuery.m_isApproved(aIndex)) return false;
   return step.m_antiAffinity == 0 ||
          aQuery.m_sameStep(aIndex) < step.m_antiAffinity;
 }
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -63,6 +63,8 @@
   std::string m_rack;   ///< Preferred rack; empty: any.
   /** Tasks of the same step on that runner, for anti-affinity. */
   std::function<uint32_t(RunnerIndex)> m_sameStep;
+  /** Whether the queue's policy allows the runner; empty: it allows all. */
+  std::function<bool(RunnerIndex)> m_isApproved;
   PlacementTally* m_tally = nullptr;  ///< Filled if it is set.
   /** Set for tasks that last: racks with a lower load are preferred, so that
    *  each keeps room for tasks whose data is there. */
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 
+#include "core/sched/advice_cmd.h"
 #include "core/sched/runner_internal.h"
 #include "core/sched/silence_cmd.h"
 #include "core/sched/task_internal.h"
@@ -303,6 +304,14 @@
       fmt::format("start refused task={} run={} runner={} outcome={}",
                   TaskText(aOrder.m_task), aOrder.m_run.Value(),
                   runner.m_entry.m_id.Value(), static_cast<int>(aOutcome)));
+  if (aOutcome == OrderOutcome::RefusedTicket) {
+    DropApproval(
+        aCell,
+        {aOrder.m_task.m_job, aOrder.m_task.m_occurrence, aOrder.m_task.m_step},
+        aOrder.m_runner);
+    Requeue(aCell, aOrder.m_task, place, aNow);
+    return;
+  }
   // A runner that refuses is left alone for a moment; its own view of its room
   // may differ from ours until its lists are read again.
   runner.m_quarantinedUntil =
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/sched/advice_cmd.h"
 #include "core/sched/job_cmd.h"
 #include "core/sched/placement_func.h"
 #include "core/sched/preemption_cmd.h"
@@ -45,11 +46,18 @@
 }
 
 PlacementQuery QueryFor(const Cell& aCell, const QueueKey& aKey,
-                        const Job& aJob, const StepSpec& aStep) {
+                        const Job& aJob, const StepSpec& aStep,
+                        TimePoint aNow) {
   PlacementQuery query;
   query.m_step = &aStep;
   query.m_service = ServiceOf(aCell, aJob.m_spec);
   query.m_rack = aStep.m_affinityRack;
+  if (aJob.m_spec.m_policy.m_advice) {
+    const StepKey stepKey{aKey.m_job, aKey.m_occurrence, aKey.m_step};
+    query.m_isApproved = [&aCell, stepKey, aNow](RunnerIndex aRunner) {
+      return ApprovalOf(aCell, stepKey, aRunner, aNow) != nullptr;
+    };
+  }
   query.m_sameStep = [&aCell, &aKey](RunnerIndex aRunner) {
     return TasksOfStepOn(aCell, aKey, aRunner);
   };
@@ -169,16 +177,28 @@
       });
 }
 
+void AskAdviceIfNeeded(Cell& aCell, const QueueKey& aKey,
+                       const PlacementQuery& aQuery, TimePoint aNow) {
+  const auto& policy = aCell.m_jobs.at(aKey.m_job).m_spec.m_policy;
+  if (!policy.m_advice) return;
+  AskAdvice(aCell, {aKey.m_job, aKey.m_occurrence, aKey.m_step},
+            *policy.m_advice, aQuery, aNow);
+}
+
 /** A task of the step found no room: remembers that for the pass, and stops
  *  less urgent ones for it. */
 void NoteUnplaced(Cell& aCell, const QueueKey& aKey,
                   const PlacementQuery& aQuery, Pass& aPass, TimePoint aNow) {
   ++aPass.m_misses;
-  // Anti-affinity may have kept it from room that another step could use.
-  if (aQuery.m_step->m_antiAffinity == 0 || aQuery.m_tally->m_unfit == 0) {
+  // Anti-affinity or the policy may have kept it from room that another step
+  // could use.
+  const bool restricted = aQuery.m_step->m_antiAffinity > 0 ||
+                          static_cast<bool>(aQuery.m_isApproved);
+  if (!restricted || aQuery.m_tally->m_unfit == 0) {
     aPass.m_unplaced.push_back({aQuery.m_step, aQuery.m_service});
   }
   if (aQuery.m_tally->m_full > 0) PreemptForStep(aCell, aKey, aQuery, aNow);
+  AskAdviceIfNeeded(aCell, aKey, aQuery, aNow);
 }
 
 /** A gang is placed whole or not at all; its members share one run number. */
@@ -200,6 +220,7 @@
     const RunnerIndex runner = ChooseRunner(aCell, aQuery, aNow);
     if (!runner.IsValid()) {
       ++aPass.m_misses;
+      AskAdviceIfNeeded(aCell, aKey, aQuery, aNow);
       for (size_t at = 0; at < placed; ++at) {
         Release(aCell, members[at], step, *FindTask(aCell, members[at]).m_task);
       }
@@ -223,7 +244,7 @@
                      TimePoint aNow) {
   Job& job = aCell.m_jobs.at(aKey.m_job);
   const StepSpec& step = job.m_spec.m_steps[aKey.m_step];
-  PlacementQuery query = QueryFor(aCell, aKey, job, step);
+  PlacementQuery query = QueryFor(aCell, aKey, job, step, aNow);
   if (IsHopeless(aPass, query)) {
     if (!step.m_gang) PreemptForStep(aCell, aKey, query, aNow);
     return StepResult::NonePlaced;
@@ -350,13 +371,24 @@
           Requeue(aCell, key, FindTask(aCell, key), aNow);
           continue;
         }
+        std::string ticket;
+        if (job.m_spec.m_policy.m_advice) {
+          const Approval* approval =
+              ApprovalOf(aCell, {aJob, number, step}, task.m_runner, aNow);
+          if (approval == nullptr) {
+            Requeue(aCell, key, FindTask(aCell, key), aNow);
+            continue;
+          }
+          ticket = approval->m_ticket;
+        }
         // What was sent there earlier and is still under way is shut out.
         runner.m_fence = std::max(runner.m_fence, aCell.m_newestFence);
         task.m_phase = TaskPhase::Starting;
         task.m_phaseSince = aNow;
         ++aCell.m_counts.m_starts;
-        aCell.m_orders.emplace_back(
-            StartOrder{key, task.m_run, task.m_runner, task.m_checkpoint});
+        aCell.m_orders.emplace_back(StartOrder{key, task.m_run, task.m_runner,
+                                               task.m_checkpoint,
+                                               std::move(ticket)});
       }
     }
   }
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 
+#include "core/sched/advice_cmd.h"
 #include "core/sched/harm_func.h"
 
 namespace bronze::sched {
@@ -258,6 +259,7 @@
   aJob.m_phase = aPhase;
   aJob.m_endedAt = aNow;
   aCell.m_ended.emplace(aNow, aJob.m_spec.m_id);
+  ForgetAdvice(aCell, aJob.m_spec.m_id);
   Touch(aCell, aJob);
   for (auto& [number, occurrence] : aJob.m_occurrences) {
     for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
--- /dev/null
+++ b/src/platform/advice_client.cpp
@@ -0,0 +1,66 @@
+/**
+ * @file advice_client.cpp The client of the service that says which runners may
+ * run a step.
+ */
+
+#include "platform/advice_client.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+
+namespace bronze {
+
+namespace {
+
+/** As many calls are under way at a time. */
+constexpr size_t kIdleConnections = 2;
+constexpr size_t kMaxAnswerBytes = size_t{64} << 10;
+/** Allowed on top of the time that the configuration names. */
+constexpr Duration kAnswerMargin = seconds(1);
+
+}  // namespace
+
+AdviceClient::AdviceClient(
+    boost::asio::io_context& aContext,
+    std::optional<boost::asio::ip::tcp::endpoint> aAddress)
+    : m_address(std::move(aAddress)),
+      m_client(aContext, kIdleConnections, kMaxAnswerBytes) {}
+
+void AdviceClient::Ask(const sched::AdviceOrder& aOrder,
+                       const std::vector<RunnerId>& aRunners,
+                       std::function<void(Result<AdviceAnswer>)> aHandler) {
+  if (!m_address) {
+    aHandler(MakeError(ErrorKind::ConnectionFailed,
+                       "the settings name no advice service"));
+    return;
+  }
+  boost::json::array workers;
+  for (const RunnerId& runner : aRunners) workers.emplace_back(runner.Value());
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_target = "/bronzeworks/advise";
+  call.m_headers = {{"Content-Type", "application/json"}};
+  call.m_body = boost::json::serialize(
+      boost::json::object{{"step", EncodeStepName(aOrder.m_step)},
+                          {"workers", std::move(workers)}});
+  // The service handles the calls of one VM in turn.
+  const Duration decision =
+      aOrder.m_policy.m_decision +
+      aOrder.m_policy.m_perRunner * static_cast<int64_t>(aRunners.size());
+  m_client.Call(
+      *m_address, call, decision * kIdleConnections + kAnswerMargin,
+      [handler = std::move(aHandler)](CallOutcome aOutcome) {
+        if (aOutcome.m_stage != CallStage::WholeAnswer) {
+          handler(MakeError(ErrorKind::ConnectionFailed, aOutcome.m_error));
+        } else if (aOutcome.m_reply.m_status != 200) {
+          handler(
+              MakeError(ErrorKind::ConnectionFailed,
+                        fmt::format("status {}", aOutcome.m_reply.m_status)));
+        } else {
+          handler(DecodeAdviceAnswer(aOutcome.m_reply.m_body));
+        }
+      });
+}
+
+}  // namespace bronze
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -88,6 +88,9 @@
   config.m_callerAddress = aReader.Address({"listen", "front"});
   config.m_readyAddress = aReader.Address({"listen", "ready"});
   config.m_storeAddress = aReader.Address({"platform", "address"});
+  if (!aReader.Get<std::string>({"advice"}, "", false).empty()) {
+    config.m_adviceAddress = aReader.Address({"advice"});
+  }
   const auto ip = aReader.Get<std::string>({"ip"}, "", true);
   const auto ports = aReader.Get<std::vector<int>>({"port_range"}, {}, true);
   if (!ip.empty() && !ports.empty()) {
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -6,6 +6,7 @@
 #define BRONZE_PLATFORM_NODE_CONFIG_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <optional>
 #include <string>
 
 #include "core/base/id_type.h"
@@ -21,6 +22,9 @@
   boost::asio::ip::tcp::endpoint m_readyAddress;
   boost::asio::ip::tcp::endpoint m_peerAddress;
   boost::asio::ip::tcp::endpoint m_storeAddress;
+  /** Of the service that approves runners for a step; not on every deployment.
+   */
+  std::optional<boost::asio::ip::tcp::endpoint> m_adviceAddress;
   double m_cpuShare = 1.0;       ///< Of one core.
   Duration m_grace{};            ///< From SIGTERM to SIGKILL.
   Duration m_maxLease{};         ///< A runner shortens longer leases.
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -105,6 +105,7 @@
                     {"deadline_ms", aDeadline.Value()},
                     {"fence", aTarget.m_fence.Value()}};
   if (!aOrder.m_checkpoint.empty()) body["checkpoint"] = aOrder.m_checkpoint;
+  if (!aOrder.m_ticket.empty()) body["ticket"] = aOrder.m_ticket;
   Post(aTarget, "/bronzeworks/run-start", json::serialize(body), kOrderTimeout,
        OrderHandler(std::move(aHandler)));
 }
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -124,6 +124,17 @@
   queue.m_policy.m_stretch = reader.Number("stretch", 1.0);
   queue.m_policy.m_targetLatency =
       milliseconds(reader.Integer("target_latency_ms", 0, 0, kMaxExact));
+  if (const json::value* advice = reader.Object("advice")) {
+    JsonReader fields(*advice);
+    sched::AdvicePolicy policy;
+    policy.m_decision =
+        milliseconds(fields.Integer("decision_ms", 0, 0, kMaxExact));
+    policy.m_perRunner =
+        milliseconds(fields.Integer("per_worker_ms", 0, 0, kMaxExact));
+    policy.m_valid = milliseconds(fields.Integer("valid_ms", 0, 0, kMaxExact));
+    if (fields.Failed()) reader.Fail(fields.Problem());
+    queue.m_policy.m_advice = policy;
+  }
   if (reader.Failed()) {
     return MakeError(ErrorKind::ConfigInvalid, reader.Problem());
   }
@@ -341,4 +352,36 @@
                      aKey.m_step, aKey.m_index);
 }
 
+std::string EncodeStepName(const sched::StepKey& aStep) {
+  return fmt::format("{:016x}.{}.{}", aStep.m_job.Value(), aStep.m_occurrence,
+                     aStep.m_step);
+}
+
+Result<AdviceAnswer> DecodeAdviceAnswer(std::string_view aBytes) {
+  const auto body = ParseJson(aBytes);
+  if (!body) return body.error();
+  JsonReader reader(body.value());
+  AdviceAnswer answer;
+  answer.m_valid = milliseconds(reader.Integer("valid_ms", 0, 0, kMaxExact));
+  reader.Require("approved");
+  if (const json::array* rows = reader.List("approved")) {
+    for (const json::value& row : *rows) {
+      const bool isPair = row.is_array() && row.get_array().size() == 2 &&
+                          row.get_array()[0].is_string() &&
+                          row.get_array()[1].is_string();
+      if (!isPair) {
+        reader.Fail("a row of approved is not an id and a ticket");
+        break;
+      }
+      answer.m_approved.push_back(
+          {RunnerId(std::string(row.get_array()[0].get_string())),
+           std::string(row.get_array()[1].get_string())});
+    }
+  }
+  if (reader.Failed()) {
+    return MakeError(ErrorKind::PeerMalformed, reader.Problem());
+  }
+  return answer;
+}
+
 }  // namespace bronze
--- a/src/platform/wire_decode.h
+++ b/src/platform/wire_decode.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "core/error/error_type.h"
+#include "core/sched/advice_cmd.h"
 #include "core/sched/live_config_type.h"
 #include "core/sched/runner_type.h"
 
@@ -30,6 +31,17 @@
 [[nodiscard]] Result<sched::RunnerReport> DecodeRunnerReport(
     std::string_view aBytes);
 
+/** What the advice service answers. */
+struct AdviceAnswer {
+  std::vector<sched::AdviceRow> m_approved;
+  Duration m_valid{};  ///< Of each ticket.
+};
+
+[[nodiscard]] Result<AdviceAnswer> DecodeAdviceAnswer(std::string_view aBytes);
+
+/** @return the step's name in calls to the advice service. */
+[[nodiscard]] std::string EncodeStepName(const sched::StepKey& aStep);
+
 /** @return the task that a runner names; an error for any other name. */
 [[nodiscard]] Result<sched::TaskKey> DecodeTaskName(std::string_view aName);
 
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -27,12 +27,14 @@
 std::string PartOf(CellId aCell) { return fmt::format("c{}", aCell.Value()); }
 
 CellOwner::CellOwner(boost::asio::io_context& aContext, StoreClient& aStore,
-                     RunnerClient& aRunners, EventLog& aLog, CellId aCell,
-                     OwnerRow aOwnerRow, RowVersion aOwnerVersion,
+                     RunnerClient& aRunners, AdviceClient& aAdvisor,
+                     EventLog& aLog, CellId aCell, OwnerRow aOwnerRow,
+                     RowVersion aOwnerVersion,
                      const sched::CellSettings& aSettings,
                      std::function<void()> aOnLost)
     : m_store(aStore),
       m_runners(aRunners),
+      m_advisor(aAdvisor),
       m_log(aLog),
       m_cellId(aCell),
       m_part(PartOf(aCell)),
@@ -344,6 +346,29 @@
                  });
 }
 
+void CellOwner::SendOrder(const sched::AdviceOrder& aOrder) {
+  std::vector<RunnerId> runners;
+  for (const sched::RunnerIndex runner : aOrder.m_runners) {
+    runners.push_back(m_cell.m_runners[runner.Value()].m_entry.m_id);
+  }
+  m_advisor.Ask(aOrder, runners,
+                [self = shared_from_this(), aOrder,
+                 askedAt = BootNow()](Result<AdviceAnswer> aAnswer) {
+                  if (self->m_ended) return;
+                  if (aAnswer) {
+                    sched::ApplyAdvice(self->m_cell, aOrder,
+                                       aAnswer.value().m_approved,
+                                       aAnswer.value().m_valid, askedAt);
+                  } else {
+                    self->m_log.Write("[advice]", "failed step={} error={}",
+                                      EncodeStepName(aOrder.m_step),
+                                      aAnswer.error().m_message);
+                    sched::ApplyAdviceFailure(self->m_cell, aOrder, BootNow());
+                  }
+                  self->SchedulePump();
+                });
+}
+
 void CellOwner::SendOrder(const sched::Decision& aDecision) {
   m_log.Line("[cell]", aDecision.m_text);
 }
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -20,6 +20,7 @@
 #include "core/metrics/histogram_type.h"
 #include "core/sched/commit_cmd.h"
 #include "core/sched/live_config_type.h"
+#include "platform/advice_client.h"
 #include "platform/runner_client.h"
 #include "platform/store_client.h"
 #include "scheduler/event_log.h"
@@ -42,8 +43,8 @@
 class CellOwner : public std::enable_shared_from_this<CellOwner> {
  public:
   CellOwner(boost::asio::io_context& aContext, StoreClient& aStore,
-            RunnerClient& aRunners, EventLog& aLog, CellId aCell,
-            OwnerRow aOwnerRow, RowVersion aOwnerVersion,
+            RunnerClient& aRunners, AdviceClient& aAdvisor, EventLog& aLog,
+            CellId aCell, OwnerRow aOwnerRow, RowVersion aOwnerVersion,
             const sched::CellSettings& aSettings,
             std::function<void()> aOnLost);
 
@@ -94,6 +95,7 @@
   void SendOrder(const sched::StartOrder& aOrder);
   void SendOrder(const sched::StopOrder& aOrder);
   void SendOrder(const sched::PaceOrder& aOrder);
+  void SendOrder(const sched::AdviceOrder& aOrder);
   void SendOrder(const sched::Decision& aDecision);
   void SendHolds();
   [[nodiscard]] RunnerTarget TargetOf(sched::RunnerIndex aRunner) const;
@@ -120,6 +122,7 @@
 
   StoreClient& m_store;
   RunnerClient& m_runners;
+  AdviceClient& m_advisor;
   EventLog& m_log;
   CellId m_cellId;
   std::string m_part;
--- a/src/scheduler/cell_seat.cpp
+++ b/src/scheduler/cell_seat.cpp
@@ -33,11 +33,13 @@
 }  // namespace
 
 CellSeat::CellSeat(boost::asio::io_context& aContext, StoreClient& aStore,
-                   RunnerClient& aRunners, EventLog& aLog, CellId aCell,
-                   NodeIdentity aIdentity, const sched::CellSettings& aSettings)
+                   RunnerClient& aRunners, AdviceClient& aAdvisor,
+                   EventLog& aLog, CellId aCell, NodeIdentity aIdentity,
+                   const sched::CellSettings& aSettings)
     : m_context(aContext),
       m_store(aStore),
       m_runners(aRunners),
+      m_advisor(aAdvisor),
       m_log(aLog),
       m_cell(aCell),
       m_identity(std::move(aIdentity)),
@@ -182,15 +184,15 @@
 void CellSeat::BeginOwning(const OwnerRow& aRow, RowVersion aVersion) {
   m_row = aRow;
   m_version = aVersion;
-  m_owner = std::make_shared<CellOwner>(m_context, m_store, m_runners, m_log,
-                                        m_cell, aRow, aVersion, m_settings,
-                                        [weak = weak_from_this()] {
-                                          const auto self = weak.lock();
-                                          if (!self) return;
-                                          self->m_owner.reset();
-                                          self->m_everPolled = false;
-                                          self->Poll();
-                                        });
+  m_owner = std::make_shared<CellOwner>(
+      m_context, m_store, m_runners, m_advisor, m_log, m_cell, aRow, aVersion,
+      m_settings, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self) return;
+        self->m_owner.reset();
+        self->m_everPolled = false;
+        self->Poll();
+      });
   if (m_config) m_owner->SetConfig(*m_config);
   m_owner->Start();
 }
--- a/src/scheduler/cell_seat.h
+++ b/src/scheduler/cell_seat.h
@@ -30,8 +30,9 @@
 class CellSeat : public std::enable_shared_from_this<CellSeat> {
  public:
   CellSeat(boost::asio::io_context& aContext, StoreClient& aStore,
-           RunnerClient& aRunners, EventLog& aLog, CellId aCell,
-           NodeIdentity aIdentity, const sched::CellSettings& aSettings);
+           RunnerClient& aRunners, AdviceClient& aAdvisor, EventLog& aLog,
+           CellId aCell, NodeIdentity aIdentity,
+           const sched::CellSettings& aSettings);
 
   void Start();
 
@@ -65,6 +66,7 @@
   boost::asio::io_context& m_context;
   StoreClient& m_store;
   RunnerClient& m_runners;
+  AdviceClient& m_advisor;
   EventLog& m_log;
   CellId m_cell;
   NodeIdentity m_identity;
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -81,6 +81,7 @@
       m_log(STDOUT_FILENO, aConfig.m_vm.Value()),
       m_store(m_context, aConfig.m_storeAddress, BootNow),
       m_runners(m_context),
+      m_advisor(m_context, aConfig.m_adviceAddress),
       m_peers(m_context, kIdlePerPeer, kMaxPeerAnswer),
       m_drainTimer(m_context),
       m_housekeepingTimer(m_context),
@@ -89,9 +90,9 @@
                               AddressText(aConfig.m_peerAddress),
                               ClaimDelay(aConfig.m_vm), aConfig.m_cpuShare};
   for (uint32_t cell = 0; cell < kCells; ++cell) {
-    m_seats.push_back(std::make_shared<CellSeat>(m_context, m_store, m_runners,
-                                                 m_log, CellId(cell), identity,
-                                                 SettingsOf(aConfig)));
+    m_seats.push_back(std::make_shared<CellSeat>(
+        m_context, m_store, m_runners, m_advisor, m_log, CellId(cell), identity,
+        SettingsOf(aConfig)));
   }
   m_operatorWatch = std::make_shared<TableWatch>(
       m_context, m_store, m_log, kOperatorTable,
@@ -334,6 +335,8 @@
   AppendCount(aText, "tasks_stalled_total", counts.m_stalledTasks);
   AppendCount(aText, "quarantines_total", counts.m_quarantines);
   AppendCount(aText, "preemptions_total", counts.m_preemptions);
+  AppendCount(aText, "advice_calls_total", counts.m_adviceAsked);
+  AppendCount(aText, "advice_failures_total", counts.m_adviceFailed);
   AppendCount(aText, "queued_steps", aCell.m_queue.size());
   for (size_t kind = 0; kind < std::size(kEnds); ++kind) {
     AppendCount(aText,
@@ -419,6 +422,7 @@
   applied.m_readyAddress = m_config.m_readyAddress;
   applied.m_peerAddress = m_config.m_peerAddress;
   applied.m_storeAddress = m_config.m_storeAddress;
+  applied.m_adviceAddress = m_config.m_adviceAddress;
   const bool whole = applied == aConfig;
   m_config = applied;
   for (const auto& seat : m_seats) seat->SetSettings(SettingsOf(m_config));
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -71,6 +71,7 @@
   EventLog m_log;
   StoreClient m_store;
   RunnerClient m_runners;
+  AdviceClient m_advisor;
   HttpClient m_peers;
   std::vector<std::shared_ptr<CellSeat>> m_seats;  ///< Indexed by CellId.
   std::shared_ptr<TableWatch> m_operatorWatch;
--- a/tests/scheduler/platform_decode_test.cpp
+++ b/tests/scheduler/platform_decode_test.cpp
@@ -185,6 +185,37 @@
   BOOST_TEST(!DecodePeerCall("\x82\x18\x63").has_value());
 }
 
+/** Guards against an answer of the advice service that is taken for another. */
+BOOST_AUTO_TEST_CASE(AdviceAnswerIsChecked) {
+  const auto answer = DecodeAdviceAnswer(
+      R"({"approved":[["i-1","t-1"],["i-2","t-2"]],"valid_ms":3000})");
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer.value().m_approved.size() == 2U);
+  BOOST_TEST(answer.value().m_approved[1].m_ticket == "t-2");
+  BOOST_TEST((answer.value().m_valid == seconds(3)));
+  BOOST_TEST(!DecodeAdviceAnswer("{}").has_value());
+  BOOST_TEST(!DecodeAdviceAnswer(R"({"approved":[["i-1"]]})").has_value());
+  BOOST_TEST(!DecodeAdviceAnswer(R"({"approved":[[1,2]]})").has_value());
+  BOOST_TEST(!DecodeAdviceAnswer("[").has_value());
+}
+
+/** Guards against a queue whose policy is not seen: its starts would all be
+ *  refused. */
+BOOST_AUTO_TEST_CASE(AdvicePolicyOfAQueueIsRead) {
+  std::vector<std::string> problems;
+  const auto config = DecodeLiveConfig(
+      R"({"version":2,"routes":[{"name":"q","host":"h","path_prefix":"/q/",)"
+      R"("service":"s","advice":{"decision_ms":50,"per_worker_ms":2,)"
+      R"("valid_ms":3000}}]})",
+      problems);
+  BOOST_REQUIRE(config.has_value());
+  BOOST_REQUIRE_EQUAL(config.value().m_queues.size(), 1U);
+  const auto& advice = config.value().m_queues[0].m_policy.m_advice;
+  BOOST_REQUIRE(advice.has_value());
+  BOOST_TEST((advice->m_perRunner == milliseconds(2)));
+  BOOST_TEST((advice->m_valid == seconds(3)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
