sched: one text of tasks and steps for logs and the wire; a gang's search in vain wakes no further pass

Twins removed: TaskText and EncodeTaskName, StepText and EncodeStepName. A search for a gang that finds no place restores the mark that room has come free, so that the next event does not begin another whole pass.

--- a/src/core/sched/advice_cmd.cpp
+++ b/src/core/sched/advice_cmd.cpp
@@ -25,11 +25,6 @@
  *  be durable first. */
 constexpr Duration kCommitTime = milliseconds(100);
 
-std::string StepText(const StepKey& aStep) {
-  return fmt::format("{:016x}.{}.{}", aStep.m_job.Value(), aStep.m_occurrence,
-                     aStep.m_step);
-}
-
 struct Candidate {
   RunnerIndex m_runner;
   bool m_known = false;  ///< Was approved before.
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -221,9 +221,12 @@
     if (!runner.IsValid()) {
       ++aPass.m_misses;
       AskAdviceIfNeeded(aCell, aKey, aQuery, aNow);
+      const bool changed = aCell.m_capacityChanged;
       for (size_t at = 0; at < placed; ++at) {
         Release(aCell, members[at], step, *FindTask(aCell, members[at]).m_task);
       }
+      // No room has come free that this pass has not seen.
+      aCell.m_capacityChanged = changed;
       return StepResult::NonePlaced;
     }
     if (step.m_sameRack && aQuery.m_rack.empty()) {
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -329,9 +329,4 @@
   aCell.m_orders.emplace_back(Decision{std::move(aText)});
 }
 
-std::string TaskText(const TaskKey& aKey) {
-  return fmt::format("{:016x}.{}.{}.{}", aKey.m_job.Value(), aKey.m_occurrence,
-                     aKey.m_step, aKey.m_index);
-}
-
 }  // namespace bronze::sched
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "core/sched/cell_base.h"
+#include "core/sched/name_func.h"
 
 namespace bronze::sched {
 
@@ -79,9 +80,6 @@
 
 void LogDecision(Cell& aCell, std::string aText);
 
-/** Text of the task for logs: the job in hexadecimal and three numbers. */
-[[nodiscard]] std::string TaskText(const TaskKey& aKey);
-
 }  // namespace bronze::sched
 
 #endif  // BRONZE_CORE_SCHED_TASK_INTERNAL_H_
--- a/src/platform/advice_client.cpp
+++ b/src/platform/advice_client.cpp
@@ -4,6 +4,7 @@
  */
 
 #include "platform/advice_client.h"
+#include "core/sched/name_func.h"
 
 #include <fmt/format.h>
 
@@ -42,7 +43,7 @@
   call.m_target = "/bronzeworks/advise";
   call.m_headers = {{"Content-Type", "application/json"}};
   call.m_body = boost::json::serialize(
-      boost::json::object{{"step", EncodeStepName(aOrder.m_step)},
+      boost::json::object{{"step", sched::StepText(aOrder.m_step)},
                           {"workers", std::move(workers)}});
   // The service handles the calls of one VM in turn.
   const Duration decision =
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -3,6 +3,7 @@
  */
 
 #include "platform/runner_client.h"
+#include "core/sched/name_func.h"
 
 #include <boost/asio/post.hpp>
 
@@ -99,7 +100,7 @@
                          const std::string& aPayload,
                          sched::RunnerMillis aDeadline,
                          std::function<void(OrderAnswer)> aHandler) {
-  json::object body{{"task", EncodeTaskName(aOrder.m_task)},
+  json::object body{{"task", sched::TaskText(aOrder.m_task)},
                     {"run", aOrder.m_run.Value()},
                     {"spec", aPayload},
                     {"deadline_ms", aDeadline.Value()},
@@ -113,7 +114,7 @@
 void RunnerClient::Stop(const RunnerTarget& aTarget,
                         const sched::StopOrder& aOrder,
                         std::function<void(OrderAnswer)> aHandler) {
-  const json::object body{{"task", EncodeTaskName(aOrder.m_task)},
+  const json::object body{{"task", sched::TaskText(aOrder.m_task)},
                           {"run", aOrder.m_run.Value()},
                           {"fence", aTarget.m_fence.Value()}};
   Post(aTarget, "/bronzeworks/run-stop", json::serialize(body), kOrderTimeout,
@@ -123,7 +124,7 @@
 void RunnerClient::Pace(const RunnerTarget& aTarget,
                         const sched::PaceOrder& aOrder,
                         std::function<void(OrderAnswer)> aHandler) {
-  const json::object body{{"task", EncodeTaskName(aOrder.m_task)},
+  const json::object body{{"task", sched::TaskText(aOrder.m_task)},
                           {"run", aOrder.m_run.Value()},
                           {"percent", aOrder.m_percent},
                           {"fence", aTarget.m_fence.Value()}};
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -347,16 +347,6 @@
   return key;
 }
 
-std::string EncodeTaskName(const sched::TaskKey& aKey) {
-  return fmt::format("{:016x}.{}.{}.{}", aKey.m_job.Value(), aKey.m_occurrence,
-                     aKey.m_step, aKey.m_index);
-}
-
-std::string EncodeStepName(const sched::StepKey& aStep) {
-  return fmt::format("{:016x}.{}.{}", aStep.m_job.Value(), aStep.m_occurrence,
-                     aStep.m_step);
-}
-
 Result<AdviceAnswer> DecodeAdviceAnswer(std::string_view aBytes) {
   const auto body = ParseJson(aBytes);
   if (!body) return body.error();
--- a/src/platform/wire_decode.h
+++ b/src/platform/wire_decode.h
@@ -39,14 +39,9 @@
 
 [[nodiscard]] Result<AdviceAnswer> DecodeAdviceAnswer(std::string_view aBytes);
 
-/** @return the step's name in calls to the advice service. */
-[[nodiscard]] std::string EncodeStepName(const sched::StepKey& aStep);
-
 /** @return the task that a runner names; an error for any other name. */
 [[nodiscard]] Result<sched::TaskKey> DecodeTaskName(std::string_view aName);
 
-[[nodiscard]] std::string EncodeTaskName(const sched::TaskKey& aKey);
-
 /** 16 hexadecimal digits. */
 [[nodiscard]] Result<JobId> DecodeJobId(std::string_view aText);
 
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -9,6 +9,7 @@
 
 #include "core/sched/harm_func.h"
 #include "core/sched/job_cmd.h"
+#include "core/sched/name_func.h"
 #include "core/sched/schedule_cmd.h"
 #include "platform/wire_decode.h"
 #include "scheduler/boot_clock.h"
@@ -296,7 +297,7 @@
   sched::Runner& runner = m_cell.m_runners[aOrder.m_runner.Value()];
   const auto deadline = sched::OrderDeadline(m_cell, runner, now);
   m_log.Write("[cell]", "start task={} run={} runner={} fence={}",
-              EncodeTaskName(aOrder.m_task), aOrder.m_run.Value(),
+              sched::TaskText(aOrder.m_task), aOrder.m_run.Value(),
               runner.m_entry.m_id.Value(), runner.m_fence.Value());
   const RunnerTarget target = TargetOf(aOrder.m_runner);
   m_runners.Start(
@@ -309,8 +310,8 @@
         }
         if (aAnswer.m_outcome != sched::OrderOutcome::Applied) {
           self->m_log.Write("[cell]", "start answer task={} run={} error={}",
-                            EncodeTaskName(aOrder.m_task), aOrder.m_run.Value(),
-                            aAnswer.m_error);
+                            sched::TaskText(aOrder.m_task),
+                            aOrder.m_run.Value(), aAnswer.m_error);
         }
         sched::ApplyStartAnswer(self->m_cell, aOrder, aAnswer.m_outcome,
                                 BootNow());
@@ -322,7 +323,7 @@
   const RunnerTarget target = TargetOf(aOrder.m_runner);
   if (target.m_address.empty()) return;
   m_log.Write("[cell]", "stop task={} run={} runner={}",
-              EncodeTaskName(aOrder.m_task), aOrder.m_run.Value(),
+              sched::TaskText(aOrder.m_task), aOrder.m_run.Value(),
               target.m_id.Value());
   m_runners.Stop(
       target, aOrder,
@@ -361,7 +362,7 @@
                                        aAnswer.value().m_valid, askedAt);
                   } else {
                     self->m_log.Write("[advice]", "failed step={} error={}",
-                                      EncodeStepName(aOrder.m_step),
+                                      sched::StepText(aOrder.m_step),
                                       aAnswer.error().m_message);
                     sched::ApplyAdviceFailure(self->m_cell, aOrder, BootNow());
                   }
--- a/tests/scheduler/platform_decode_test.cpp
+++ b/tests/scheduler/platform_decode_test.cpp
@@ -7,6 +7,7 @@
 
 #include "codec/job_cbor.h"
 #include "codec/peer_call_cbor.h"
+#include "core/sched/name_func.h"
 #include "platform/caller_wire.h"
 #include "platform/node_config.h"
 #include "platform/wire_decode.h"
@@ -61,7 +62,7 @@
   const auto key = DecodeTaskName("5c0e7a21d94b36f8.0.1.17");
   BOOST_REQUIRE(key.has_value());
   BOOST_TEST(key.value().m_index == 17U);
-  BOOST_TEST(EncodeTaskName(key.value()) == "5c0e7a21d94b36f8.0.1.17");
+  BOOST_TEST(sched::TaskText(key.value()) == "5c0e7a21d94b36f8.0.1.17");
   for (const auto* bad :
        {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "x.0.1.2",
         "5c0e7a21d94b36f8.0.1.17.", "5c0e7a21d94b36f8.0.1.-1",
