--- a/src/core/sched/preemption_cmd.cpp
+++ b/src/core/sched/preemption_cmd.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kPreemptAfter = milliseconds(250);
 /** A stop takes up to 400 ms and its end has to be listed. */
 constexpr Duration kPreemptPause = seconds(1);
+/** Between two searches for one step that find nothing. */
+constexpr Duration kSearchPause = milliseconds(500);
 /** Share of the work since the start that a task with checkpoints loses. */
 constexpr double kLostWithCheckpoints = 0.3;
 
@@ -93,6 +95,18 @@
   return true;
 }
 
+/** No task can be stopped for the step: it is not searched for again for a
+ *  while. A search looks at all runs of the cell, and a long queue asks for one
+ *  in each pass. */
+void PauseSearch(Cell& aCell, const QueueKey& aKey, const StepSpec& aStep,
+                 TimePoint aNow) {
+  for (uint32_t index = 0; index < aStep.m_count; ++index) {
+    const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
+    FindTask(aCell, key).m_task->m_preemptedAt =
+        aNow - kPreemptPause + kSearchPause;
+  }
+}
+
 }  // namespace
 
 void PreemptForStep(Cell& aCell, const QueueKey& aKey,
@@ -101,7 +115,9 @@
     const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task->m_phase != TaskPhase::Ready) continue;
-    if (!PreemptForTask(aCell, key, place, aQuery, aNow)) return;
+    if (PreemptForTask(aCell, key, place, aQuery, aNow)) continue;
+    PauseSearch(aCell, aKey, *aQuery.m_step, aNow);
+    return;
   }
 }
 
