--- a/src/core/sched/preemption_cmd.cpp
+++ b/src/core/sched/preemption_cmd.cpp
@@ -75,7 +75,6 @@
 bool PreemptForTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
                     const PlacementQuery& aQuery, TimePoint aNow) {
   Task& task = *aPlace.m_task;
-  if (aNow - task.m_phaseSince < kPreemptAfter) return false;
   if (aNow - task.m_preemptedAt < kPreemptPause) return true;
   const int priority = aPlace.m_job->m_spec.m_policy.m_priority;
   Victim victim;
@@ -115,6 +114,7 @@
     const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task->m_phase != TaskPhase::Ready) continue;
+    if (aNow - place.m_task->m_phaseSince < kPreemptAfter) return;
     if (PreemptForTask(aCell, key, place, aQuery, aNow)) continue;
     PauseSearch(aCell, aKey, *aQuery.m_step, aNow);
     return;
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -185,11 +185,15 @@
             *policy.m_advice, aQuery, aNow);
 }
 
+/** A search for a fill also predicts the harm to each serving task, so it
+ * counts as so many. */
+constexpr uint32_t kFillSearchCost = 2;
+
 /** A task of the step found no room: remembers that for the pass, and stops
  *  less urgent ones for it. */
 void NoteUnplaced(Cell& aCell, const QueueKey& aKey,
                   const PlacementQuery& aQuery, Pass& aPass, TimePoint aNow) {
-  ++aPass.m_misses;
+  aPass.m_misses += aQuery.m_step->m_fills ? kFillSearchCost : 1;
   // Anti-affinity or the policy may have kept it from room that another step
   // could use.
   const bool restricted = aQuery.m_step->m_antiAffinity > 0 ||
