--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -113,10 +113,7 @@
   }
 }
 
-}  // namespace
-
-namespace {
-
+/** What was known of an earlier life says nothing of the present one. */
 void ResetView(Runner& aRunner, TimePoint aNow) {
   aRunner.m_contacted = false;
   aRunner.m_lastDeadline = RunnerMillis();
--- a/src/platform/advice_client.cpp
+++ b/src/platform/advice_client.cpp
@@ -4,12 +4,13 @@
  */
 
 #include "platform/advice_client.h"
-#include "core/sched/name_func.h"
 
 #include <fmt/format.h>
 
 #include <boost/json.hpp>
 
+#include "core/sched/name_func.h"
+
 namespace bronze {
 
 namespace {
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -3,10 +3,10 @@
  */
 
 #include "platform/runner_client.h"
-#include "core/sched/name_func.h"
 
 #include <boost/asio/post.hpp>
 
+#include "core/sched/name_func.h"
 #include "net/address_func.h"
 #include "platform/json_reader.h"
 #include "platform/wire_decode.h"
