net: limit the connections that calls to one address use

Cause: on the small twin of the large deployment, a saturated link made orders time out, each time-out dropped the idle connections, and each further call opened a new one: 12,143 connections for 749 requests. A configuration of 1,400 routes (350 KB) could not be read at 2 Mbit/s, since each try was given up after 1.5 s and started again. Ruled out: connections closed by the runners; the log shows time-outs only. Change: calls beyond a limit wait in turn, urgent ones first, with a lower limit after a time-out until a call is answered. A call can be withdrawn right before it is sent. The timeout starts again with each part of a reply.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -18,17 +19,73 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+/** Limit of connections that carry a call to an address whose last call timed
+ *  out: one for a call that waits at the server, and one for another. */
+constexpr size_t kSuspectConnections = 2;
+
+/** Longest time from a call to the end of its reply. */
+constexpr Duration kMaxReplyTime = seconds(12);
+
+/** A call that waits for its turn. */
+class WaitingCall {
+ public:
+  virtual ~WaitingCall() = default;
+  virtual void Begin() = 0;
+};
+
+}  // namespace
+
 struct HttpClient::Pool {
-  Pool(asio::io_context& aContext, size_t aIdlePerAddress, size_t aMaxAnswer)
+  /** Connections to one address. */
+  struct Address {
+    std::vector<std::unique_ptr<beast::tcp_stream>>
+        m_idle;              ///< Open connections without a call in progress.
+    size_t m_busy = 0;       ///< Calls that have begun and have not ended.
+    bool m_suspect = false;  ///< The last call timed out.
+    std::deque<std::shared_ptr<WaitingCall>> m_urgent;
+    std::deque<std::shared_ptr<WaitingCall>> m_waiting;
+  };
+
+  Pool(asio::io_context& aContext, size_t aIdlePerAddress, size_t aMaxAnswer,
+       size_t aBusyPerAddress)
       : m_context(aContext),
         m_idlePerAddress(aIdlePerAddress),
-        m_maxAnswerBytes(aMaxAnswer) {}
+        m_maxAnswerBytes(aMaxAnswer),
+        m_busyPerAddress(aBusyPerAddress) {}
+
+  [[nodiscard]] bool MayBegin(const Address& aAddress) const {
+    const size_t limit = aAddress.m_suspect
+                             ? std::min(m_busyPerAddress, kSuspectConnections)
+                             : m_busyPerAddress;
+    return aAddress.m_busy < limit;
+  }
+
+  /** A call has ended: begins those that waited for it. */
+  void EndCall(const tcp::endpoint& aAddress) {
+    Address& address = m_addresses[aAddress];
+    --address.m_busy;
+    while (MayBegin(address)) {
+      auto& queue =
+          address.m_urgent.empty() ? address.m_waiting : address.m_urgent;
+      if (queue.empty()) break;
+      const std::shared_ptr<WaitingCall> next = std::move(queue.front());
+      queue.pop_front();
+      next->Begin();
+    }
+    // Runners come and go under new addresses.
+    if (address.m_busy == 0 && address.m_idle.empty()) {
+      m_addresses.erase(aAddress);
+    }
+  }
 
   asio::io_context& m_context;
   size_t m_idlePerAddress;
   size_t m_maxAnswerBytes;
-  std::map<tcp::endpoint, std::vector<std::unique_ptr<beast::tcp_stream>>>
-      m_idle;  ///< Open connections without a call in progress.
+  size_t m_busyPerAddress;
+  uint64_t m_connections = 0;  ///< Opened so far.
+  std::map<tcp::endpoint, Address> m_addresses;
 };
 
 namespace {
@@ -47,13 +104,17 @@
 
 template <class PoolState>
 class Exchange : public HttpExchange,
+                 public WaitingCall,
                  public std::enable_shared_from_this<Exchange<PoolState>> {
  public:
   Exchange(std::shared_ptr<PoolState> aPool, const tcp::endpoint& aAddress,
-           const HttpCall& aCall, CallHandler aHandler)
+           const HttpCall& aCall, Duration aTimeout, CallHandler aHandler,
+           CallOptions aOptions)
       : m_pool(std::move(aPool)),
         m_address(aAddress),
-        m_handler(std::move(aHandler)) {
+        m_timeout(aTimeout),
+        m_handler(std::move(aHandler)),
+        m_options(std::move(aOptions)) {
     m_request.method_string(aCall.m_method);
     m_request.target(aCall.m_target);
     m_request.version(11);
@@ -65,16 +126,39 @@
     m_request.prepare_payload();
   }
 
-  void Start(Duration aTimeout) {
+  void Start() {
+    m_madeAt = std::chrono::steady_clock::now();
+    auto& address = m_pool->m_addresses[m_address];
+    if (m_pool->MayBegin(address)) {
+      Begin();
+      return;
+    }
+    auto& queue = m_options.m_urgent ? address.m_urgent : address.m_waiting;
+    queue.push_back(this->shared_from_this());
+  }
+
+  void Begin() override {
+    ++m_pool->m_addresses[m_address].m_busy;
+    const bool late = std::chrono::steady_clock::now() - m_madeAt > m_timeout;
+    if (m_cancelled || late ||
+        (m_options.m_mayBegin && !m_options.m_mayBegin())) {
+      m_outcome.m_timedOut = late;
+      m_outcome.m_error = late ? "no connection became free in time"
+                               : "the call was withdrawn before it was sent";
+      asio::post(m_pool->m_context,
+                 [self = this->shared_from_this()] { self->Finish(); });
+      return;
+    }
     TakeIdle();
     if (m_stream) {
       m_outcome.m_reused = true;
-      m_stream->expires_after(aTimeout);
+      m_stream->expires_after(m_timeout);
       Send();
       return;
     }
     m_stream = std::make_unique<beast::tcp_stream>(m_pool->m_context);
-    m_stream->expires_after(aTimeout);
+    ++m_pool->m_connections;
+    m_stream->expires_after(m_timeout);
     m_stream->async_connect(
         m_address, [self = this->shared_from_this()](beast::error_code aError) {
           if (aError) {
@@ -88,12 +172,13 @@
   }
 
   void Cancel() override {
+    m_cancelled = true;
     if (m_stream) m_stream->close();
   }
 
  private:
   void TakeIdle() {
-    auto& idle = m_pool->m_idle[m_address];
+    auto& idle = m_pool->m_addresses[m_address].m_idle;
     while (!idle.empty() && !m_stream) {
       auto stream = std::move(idle.back());
       idle.pop_back();
@@ -118,10 +203,26 @@
   void Read() {
     m_parser.emplace();
     m_parser->body_limit(m_pool->m_maxAnswerBytes);
-    http::async_read(
+    ReadMore();
+  }
+
+  /** A large reply may take long on a narrow link, so the timeout starts again
+   *  with each part that arrives. */
+  void ReadMore() {
+    http::async_read_some(
         *m_stream, m_buffer, *m_parser,
         [self = this->shared_from_this()](beast::error_code aError, size_t) {
-          self->OnRead(aError);
+          const auto now = std::chrono::steady_clock::now();
+          if (aError || self->m_parser->is_done() ||
+              now - self->m_madeAt > kMaxReplyTime) {
+            self->OnRead(aError ? aError
+                         : self->m_parser->is_done()
+                             ? beast::error_code()
+                             : beast::error_code(beast::error::timeout));
+            return;
+          }
+          self->m_stream->expires_after(self->m_timeout);
+          self->ReadMore();
         });
   }
 
@@ -146,7 +247,9 @@
   }
 
   void ReturnToPool(bool aKeepAlive) {
-    auto& idle = m_pool->m_idle[m_address];
+    auto& address = m_pool->m_addresses[m_address];
+    address.m_suspect = false;
+    auto& idle = address.m_idle;
     if (!aKeepAlive || m_buffer.size() > 0 ||
         idle.size() >= m_pool->m_idlePerAddress) {
       return;
@@ -159,7 +262,11 @@
     m_outcome.m_timedOut = aError == beast::error::timeout;
     // A connection can stop carrying data without a reset. The idle connections
     // to the same address may be affected too, so they are dropped.
-    if (m_outcome.m_timedOut) m_pool->m_idle.erase(m_address);
+    if (m_outcome.m_timedOut) {
+      auto& address = m_pool->m_addresses[m_address];
+      address.m_idle.clear();
+      address.m_suspect = true;
+    }
     m_outcome.m_error = aError.message();
     m_stream->close();
     Finish();
@@ -169,11 +276,16 @@
     auto handler = std::move(m_handler);
     m_handler = nullptr;
     handler(std::move(m_outcome));
+    m_pool->EndCall(m_address);
   }
 
   std::shared_ptr<PoolState> m_pool;
   tcp::endpoint m_address;
+  Duration m_timeout;
   CallHandler m_handler;
+  CallOptions m_options;
+  std::chrono::steady_clock::time_point m_madeAt;
+  bool m_cancelled = false;
   http::request<http::string_body> m_request;
   std::unique_ptr<beast::tcp_stream> m_stream;
   beast::flat_buffer m_buffer;
@@ -205,20 +317,30 @@
 }
 
 HttpClient::HttpClient(asio::io_context& aContext, size_t aIdlePerAddress,
-                       size_t aMaxAnswerBytes)
-    : m_pool(
-          std::make_shared<Pool>(aContext, aIdlePerAddress, aMaxAnswerBytes)) {}
+                       size_t aMaxAnswerBytes, size_t aBusyPerAddress)
+    : m_pool(std::make_shared<Pool>(aContext, aIdlePerAddress, aMaxAnswerBytes,
+                                    aBusyPerAddress)) {}
 
-HttpClient::~HttpClient() = default;
+HttpClient::~HttpClient() {
+  // A waiting call keeps the pool alive, and the pool keeps the call.
+  for (auto& [address, state] : m_pool->m_addresses) {
+    state.m_urgent.clear();
+    state.m_waiting.clear();
+  }
+}
 
 std::shared_ptr<HttpExchange> HttpClient::Call(const tcp::endpoint& aAddress,
                                                const HttpCall& aCall,
                                                Duration aTimeout,
-                                               CallHandler aHandler) {
-  auto exchange = std::make_shared<Exchange<Pool>>(m_pool, aAddress, aCall,
-                                                   std::move(aHandler));
-  exchange->Start(aTimeout);
+                                               CallHandler aHandler,
+                                               CallOptions aOptions) {
+  auto exchange = std::make_shared<Exchange<Pool>>(
+      m_pool, aAddress, aCall, aTimeout, std::move(aHandler),
+      std::move(aOptions));
+  exchange->Start();
   return exchange;
 }
 
+uint64_t HttpClient::Connections() const { return m_pool->m_connections; }
+
 }  // namespace bronze
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -35,6 +36,14 @@
 
 using CallHandler = std::function<void(CallOutcome aOutcome)>;
 
+/** How a call is treated beside others to the same address. */
+struct CallOptions {
+  bool m_urgent = false;  ///< Goes before waiting calls that are not urgent.
+  /** Asked right before the call is sent, which may be some time after it was
+   *  made. If it returns false, nothing is sent. */
+  std::function<bool()> m_mayBegin;
+};
+
 /** A call in progress. */
 class HttpExchange {
  public:
@@ -47,20 +56,30 @@
  * Makes HTTP calls on one event loop. All functions must be called on the
  * thread of that loop. A connection carries one call at a time and returns to
  * the pool only after a complete reply.
+ *
+ * Calls to an address beyond its limit of connections wait in turn. After a
+ * time-out the limit is lower until a call is answered, so that an address that
+ * is slow to answer does not get a new connection for each call.
  */
 class HttpClient {
  public:
-  /** @param aIdlePerAddress limit of idle connections to one address. */
+  /** @param aIdlePerAddress limit of idle connections to one address.
+   *  @param aBusyPerAddress limit of connections to one address that carry a
+   *  call; calls beyond it wait. */
   HttpClient(boost::asio::io_context& aContext, size_t aIdlePerAddress,
-             size_t aMaxAnswerBytes);
+             size_t aMaxAnswerBytes, size_t aBusyPerAddress = SIZE_MAX);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /** The handler runs exactly once, on the event loop's thread. */
+  /** The handler runs exactly once, on the event loop's thread.
+   *  @param aTimeout limits the wait for a connection, and then the call. */
   std::shared_ptr<HttpExchange> Call(
       const boost::asio::ip::tcp::endpoint& aAddress, const HttpCall& aCall,
-      Duration aTimeout, CallHandler aHandler);
+      Duration aTimeout, CallHandler aHandler, CallOptions aOptions = {});
+
+  /** @return the number of connections that were opened. */
+  [[nodiscard]] uint64_t Connections() const;
 
  private:
   struct Pool;
