--- a/src/codec/job_cbor.cpp
+++ b/src/codec/job_cbor.cpp
@@ -15,6 +15,8 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "codec/bounded_json.h"
+
 namespace bronze {
 
 namespace {
@@ -43,8 +45,10 @@
 /** Runs aRead on the decoded array; an exception becomes an Error. */
 template <class T, class Read>
 Result<T> Decode(std::string_view aBytes, std::string_view aWhat, Read aRead) {
+  const auto parsed = ParseBoundedCbor(aBytes);
+  if (!parsed) return parsed.error();
   try {
-    const Json json = Json::from_cbor(aBytes.begin(), aBytes.end());
+    const Json& json = parsed.value();
     if (json.at(0).get<int>() != kFormatVersion) {
       return MakeError(ErrorKind::PeerMalformed,
                        fmt::format("{} has an unknown format version", aWhat));
@@ -215,23 +219,43 @@
   for (const StoredOccurrence& occurrence : aState.m_occurrences) {
     occurrences.push_back(OccurrenceToJson(occurrence));
   }
-  return ToBytes(Json::array(
+  Json row = Json::array(
       {kFormatVersion, aState.m_job.Value(), static_cast<int>(aState.m_phase),
-       aState.m_nextOccurrence, aState.m_anyStarted, occurrences}));
+       aState.m_nextOccurrence, aState.m_anyStarted, occurrences});
+  // Jobs that never moved keep the format of earlier builds.
+  if (aState.m_moveCount > 0) {
+    Json target = Json::array();
+    if (aState.m_movingTo) target.push_back(aState.m_movingTo->Value());
+    row.push_back(std::move(target));
+    row.push_back(aState.m_moveCount);
+  }
+  return ToBytes(row);
 }
 
 Result<StoredState> DecodeJobState(std::string_view aBytes) {
-  return Decode<StoredState>(aBytes, "job state", [](const Json& aJson) {
-    StoredState state;
-    state.m_job = JobId(aJson.at(1).get<uint64_t>());
-    state.m_phase = static_cast<sched::JobPhase>(aJson.at(2).get<int>());
-    state.m_nextOccurrence = aJson.at(3).get<uint32_t>();
-    state.m_anyStarted = aJson.at(4).get<bool>();
-    for (const Json& occurrence : aJson.at(5)) {
-      state.m_occurrences.push_back(OccurrenceFromJson(occurrence));
-    }
-    return state;
-  });
+  return Decode<StoredState>(
+      aBytes, "job state", [](const Json& aJson) -> Result<StoredState> {
+        StoredState state;
+        state.m_job = JobId(aJson.at(1).get<uint64_t>());
+        const int phase = aJson.at(2).get<int>();
+        if (phase < 0 || phase > static_cast<int>(sched::JobPhase::Cancelled)) {
+          return MakeError(ErrorKind::PeerMalformed, "unknown phase of a job");
+        }
+        state.m_phase = static_cast<sched::JobPhase>(phase);
+        state.m_nextOccurrence = aJson.at(3).get<uint32_t>();
+        state.m_anyStarted = aJson.at(4).get<bool>();
+        for (const Json& occurrence : aJson.at(5)) {
+          state.m_occurrences.push_back(OccurrenceFromJson(occurrence));
+        }
+        // Rows of jobs that never moved end here.
+        constexpr size_t kMovingTo = 6;
+        if (aJson.size() <= kMovingTo) return state;
+        if (!aJson.at(kMovingTo).empty()) {
+          state.m_movingTo = CellId(aJson.at(kMovingTo).at(0).get<uint32_t>());
+        }
+        state.m_moveCount = aJson.at(kMovingTo + 1).get<uint32_t>();
+        return state;
+      });
 }
 
 std::string EncodeInterference(const sched::StoredInterference& aInterference) {
@@ -297,4 +321,57 @@
   });
 }
 
+std::string EncodeHeartbeatRow(const HeartbeatRow& aRow) {
+  return ToBytes(Json::array(
+      {kFormatVersion, aRow.m_vm, aRow.m_incarnation, aRow.m_address,
+       aRow.m_sequence, aRow.m_cpuShare, aRow.m_term.Value(),
+       Json::array({aRow.m_load.m_longRunning, aRow.m_load.m_short,
+                    aRow.m_load.m_bestEffort, aRow.m_load.m_cores,
+                    aRow.m_load.m_kinds})}));
+}
+
+Result<HeartbeatRow> DecodeHeartbeatRow(std::string_view aBytes) {
+  return Decode<HeartbeatRow>(aBytes, "heartbeat row", [](const Json& aJson) {
+    HeartbeatRow row;
+    row.m_vm = aJson.at(1).get<std::string>();
+    row.m_incarnation = aJson.at(2).get<uint64_t>();
+    row.m_address = aJson.at(3).get<std::string>();
+    row.m_sequence = aJson.at(4).get<uint64_t>();
+    row.m_cpuShare = aJson.at(5).get<double>();
+    row.m_term = FencingToken(aJson.at(6).get<uint64_t>());
+    const Json& load = aJson.at(7);
+    row.m_load.m_longRunning = load.at(0).get<uint32_t>();
+    row.m_load.m_short = load.at(1).get<uint32_t>();
+    row.m_load.m_bestEffort = load.at(2).get<uint32_t>();
+    row.m_load.m_cores = load.at(3).get<uint64_t>();
+    row.m_load.m_kinds = load.at(4).get<std::vector<std::string>>();
+    return row;
+  });
+}
+
+std::string EncodeLayoutRow(const LayoutRow& aRow) {
+  return ToBytes(
+      Json::array({kFormatVersion, aRow.m_layout.m_cells, aRow.m_countingVm}));
+}
+
+Result<LayoutRow> DecodeLayoutRow(std::string_view aBytes) {
+  return Decode<LayoutRow>(aBytes, "layout row", [](const Json& aJson) {
+    return LayoutRow{{aJson.at(1).get<uint32_t>()},
+                     aJson.at(2).get<std::string>()};
+  });
+}
+
+std::string EncodeRoute(const sched::StoredRoute& aRoute) {
+  return ToBytes(Json::array({kFormatVersion, aRoute.m_job.Value(),
+                              aRoute.m_cell.Value(), aRoute.m_moveCount}));
+}
+
+Result<sched::StoredRoute> DecodeRoute(std::string_view aBytes) {
+  return Decode<sched::StoredRoute>(aBytes, "route", [](const Json& aJson) {
+    return sched::StoredRoute{JobId(aJson.at(1).get<uint64_t>()),
+                              CellId(aJson.at(2).get<uint32_t>()),
+                              aJson.at(3).get<uint32_t>()};
+  });
+}
+
 }  // namespace bronze
--- a/src/codec/job_cbor.h
+++ b/src/codec/job_cbor.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "core/error/error_type.h"
+#include "core/sched/cell_layout_type.h"
 #include "core/sched/commit_cmd.h"
 
 namespace bronze {
@@ -51,6 +52,36 @@
 [[nodiscard]] std::string EncodeOwnerRow(const OwnerRow& aRow);
 [[nodiscard]] Result<OwnerRow> DecodeOwnerRow(std::string_view aBytes);
 
+/**
+ * The heartbeat of a cell's owner. The heartbeats of all cells are in one part
+ * of the store, so that a VM reads them in one call. An owner sends starts only
+ * within a time after its last acknowledged heartbeat.
+ */
+struct HeartbeatRow {
+  std::string m_vm;  ///< Empty: the cell was handed over.
+  uint64_t m_incarnation = 0;
+  std::string m_address;    ///< IP:PORT for calls of other daemons.
+  uint64_t m_sequence = 0;  ///< Rises with each heartbeat of the owner.
+  double m_cpuShare = 0.0;  ///< Of the VM, in cores; 0: unknown.
+  FencingToken m_term;      ///< Version of the owner row at the claim.
+  sched::CellLoad m_load;
+};
+
+[[nodiscard]] std::string EncodeHeartbeatRow(const HeartbeatRow& aRow);
+[[nodiscard]] Result<HeartbeatRow> DecodeHeartbeatRow(std::string_view aBytes);
+
+/** The number of cells, or the VM that is counting runners to determine it. */
+struct LayoutRow {
+  sched::CellLayout m_layout;
+  std::string m_countingVm;  ///< Set while m_layout is not known.
+};
+
+[[nodiscard]] std::string EncodeLayoutRow(const LayoutRow& aRow);
+[[nodiscard]] Result<LayoutRow> DecodeLayoutRow(std::string_view aBytes);
+
+[[nodiscard]] std::string EncodeRoute(const sched::StoredRoute& aRoute);
+[[nodiscard]] Result<sched::StoredRoute> DecodeRoute(std::string_view aBytes);
+
 }  // namespace bronze
 
 #endif  // BRONZE_CODEC_JOB_CBOR_H_
--- a/src/codec/peer_call_cbor.cpp
+++ b/src/codec/peer_call_cbor.cpp
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "codec/bounded_json.h"
 #include "codec/job_cbor.h"
 #include "core/error/error_func.h"
 
@@ -23,6 +24,16 @@
   return bytes;
 }
 
+/** Positions in the array of a call. */
+constexpr size_t kSpec = 5;
+constexpr size_t kRouted = 6;
+constexpr size_t kState = 7;
+
+std::string_view BytesOf(const Json& aJson) {
+  const auto& bytes = aJson.get_binary();
+  return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 Error Malformed(const Json::exception& aError) {
   return MakeError(
       ErrorKind::PeerMalformed,
@@ -32,20 +43,30 @@
 }  // namespace
 
 std::string EncodePeerCall(const PeerCall& aCall) {
-  const bool submits = aCall.m_verb == PeerVerb::Submit;
-  const std::string spec = submits ? EncodeJobSpec(aCall.m_spec) : "";
-  return ToBytes(Json::array({static_cast<int>(aCall.m_verb),
-                              aCall.m_cell.Value(), aCall.m_job.Value(),
-                              aCall.m_queue.Value(), aCall.m_window.count(),
-                              Json::binary({spec.begin(), spec.end()})}));
+  const bool adopts = aCall.m_verb == PeerVerb::Adopt;
+  const bool hasSpec = adopts || aCall.m_verb == PeerVerb::Submit;
+  const std::string spec = hasSpec ? EncodeJobSpec(aCall.m_spec) : "";
+  const std::string state = adopts ? EncodeJobState(aCall.m_state) : "";
+  Json call = Json::array({static_cast<int>(aCall.m_verb), aCall.m_cell.Value(),
+                           aCall.m_job.Value(), aCall.m_queue.Value(),
+                           aCall.m_window.count(),
+                           Json::binary({spec.begin(), spec.end()})});
+  // Other calls keep the format of earlier builds.
+  if (aCall.m_routed || adopts) {
+    call.push_back(aCall.m_routed);
+    call.push_back(Json::binary({state.begin(), state.end()}));
+  }
+  return ToBytes(call);
 }
 
 Result<PeerCall> DecodePeerCall(std::string_view aBytes) {
+  const auto parsed = ParseBoundedCbor(aBytes);
+  if (!parsed) return parsed.error();
   try {
-    const Json json = Json::from_cbor(aBytes.begin(), aBytes.end());
+    const Json& json = parsed.value();
     PeerCall call;
     const int verb = json.at(0).get<int>();
-    if (verb < 0 || verb > static_cast<int>(PeerVerb::CountPending)) {
+    if (verb < 0 || verb > static_cast<int>(PeerVerb::Adopt)) {
       return MakeError(ErrorKind::PeerMalformed,
                        "unknown verb in a call from a peer");
     }
@@ -54,12 +75,16 @@
     call.m_job = JobId(json.at(2).get<uint64_t>());
     call.m_queue = sched::QueueId(json.at(3).get<std::string>());
     call.m_window = Duration(json.at(4).get<int64_t>());
-    if (call.m_verb != PeerVerb::Submit) return call;
-    const auto& bytes = json.at(5).get_binary();
-    auto spec = DecodeJobSpec(
-        {reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+    call.m_routed = json.size() > kRouted && json.at(kRouted).get<bool>();
+    const bool adopts = call.m_verb == PeerVerb::Adopt;
+    if (!adopts && call.m_verb != PeerVerb::Submit) return call;
+    auto spec = DecodeJobSpec(BytesOf(json.at(kSpec)));
     if (!spec) return spec.error();
     call.m_spec = std::move(spec.value());
+    if (!adopts) return call;
+    auto state = DecodeJobState(BytesOf(json.at(kState)));
+    if (!state) return state.error();
+    call.m_state = std::move(state.value());
     return call;
   } catch (const Json::exception& error) {
     return Malformed(error);
@@ -72,13 +97,17 @@
         Json::array({std::string(AnswerFor(aAnswer.m_error->m_kind).m_name),
                      aAnswer.m_error->m_message}));
   }
-  return ToBytes(
-      Json::array({"", static_cast<int>(aAnswer.m_state), aAnswer.m_count}));
+  Json answer =
+      Json::array({"", static_cast<int>(aAnswer.m_state), aAnswer.m_count});
+  if (aAnswer.m_routedTo) answer.push_back(aAnswer.m_routedTo->Value());
+  return ToBytes(answer);
 }
 
 Result<PeerAnswer> DecodePeerAnswer(std::string_view aBytes) {
+  const auto parsed = ParseBoundedCbor(aBytes);
+  if (!parsed) return parsed.error();
   try {
-    const Json json = Json::from_cbor(aBytes.begin(), aBytes.end());
+    const Json& json = parsed.value();
     PeerAnswer answer;
     const auto name = json.at(0).get<std::string>();
     if (!name.empty()) {
@@ -86,8 +115,17 @@
           MakeError(ErrorKindFromName(name), json.at(1).get<std::string>());
       return answer;
     }
-    answer.m_state = static_cast<sched::JobState>(json.at(1).get<int>());
+    const int state = json.at(1).get<int>();
+    if (state < 0 || state > static_cast<int>(sched::JobState::Cancelled)) {
+      return MakeError(ErrorKind::PeerMalformed,
+                       "unknown state in an answer from a peer");
+    }
+    answer.m_state = static_cast<sched::JobState>(state);
     answer.m_count = json.at(2).get<uint64_t>();
+    constexpr size_t kRoutedTo = 3;
+    if (json.size() > kRoutedTo) {
+      answer.m_routedTo = CellId(json.at(kRoutedTo).get<uint32_t>());
+    }
     return answer;
   } catch (const Json::exception& error) {
     return Malformed(error);
--- a/src/codec/peer_call_cbor.h
+++ b/src/codec/peer_call_cbor.h
@@ -11,27 +11,38 @@
 #include <string_view>
 
 #include "core/error/error_type.h"
+#include "core/sched/commit_cmd.h"
 #include "core/sched/job_cmd.h"
 
 namespace bronze {
 
-using CellId = NumberId<struct CellIdTag, uint32_t>;
-
-enum class PeerVerb : uint8_t { Submit, LookUp, Cancel, CountPending };
+enum class PeerVerb : uint8_t {
+  Submit,
+  LookUp,
+  Cancel,
+  CountPending,
+  Adopt,  ///< Takes over a job from another cell.
+};
 
 struct PeerCall {
   PeerVerb m_verb = PeerVerb::LookUp;
   CellId m_cell;
+  /** The job's home cell has a route to m_cell, which thus handles the job
+   *  itself. */
+  bool m_routed = false;
   JobId m_job;
   sched::QueueId m_queue;
-  Duration m_window{};    ///< How long the sender waits for an answer.
-  sched::JobSpec m_spec;  ///< For Submit only.
+  Duration m_window{};         ///< How long the sender waits for an answer.
+  sched::JobSpec m_spec;       ///< For Submit and Adopt only.
+  sched::StoredState m_state;  ///< For Adopt only.
 };
 
 struct PeerAnswer {
   std::optional<Error> m_error;
   sched::JobState m_state = sched::JobState::Queued;  ///< For LookUp.
   uint64_t m_count = 0;                               ///< For CountPending.
+  /** Nothing was done: the call belongs to this cell. */
+  std::optional<CellId> m_routedTo;
 };
 
 [[nodiscard]] std::string EncodePeerCall(const PeerCall& aCall);
--- a/src/core/base/id_type.h
+++ b/src/core/base/id_type.h
@@ -24,6 +24,8 @@
 
 using RequestId = NumberId<struct RequestIdTag>;
 using JobId = NumberId<struct JobIdTag>;
+/** A set of runners and jobs that one entry VM schedules. */
+using CellId = NumberId<struct CellIdTag, uint32_t>;
 
 /** Number of a committed list of member VMs. */
 using Epoch = Sequence<struct EpochTag>;
--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "core/sched/job_type.h"
+#include "core/sched/order_window_type.h"
 #include "core/sched/runner_type.h"
 
 namespace bronze::sched {
@@ -133,6 +134,11 @@
   uint64_t m_preemptions = 0;
   uint64_t m_adviceAsked = 0;
   uint64_t m_adviceFailed = 0;
+  uint64_t m_jobsRouted = 0;     ///< New jobs sent to another cell.
+  uint64_t m_jobsMoved = 0;      ///< Waiting jobs sent to another cell.
+  uint64_t m_jobsAdopted = 0;    ///< Jobs that came from another cell.
+  uint64_t m_windowFull = 0;     ///< Passes that the order window ended.
+  uint64_t m_staleListings = 0;  ///< Starts held back, see ListingAge.
 };
 
 /** Permission of the advice service to run a step on one runner. */
@@ -159,6 +165,15 @@
   ServiceId m_service;
 };
 
+/** Where another cell schedules a job whose home is this cell (route_cmd.h). */
+struct JobRoute {
+  CellId m_cell;
+  bool m_stored = false;  ///< Durable: callers may be sent there.
+  /** Moves of the job up to this route; 0: it was never here. */
+  uint32_t m_moveCount = 0;
+  TimePoint m_since;  ///< When it was chosen or restored.
+};
+
 struct Cell {
   CellSettings m_settings;
   /** Token of this ownership; higher than that of any earlier owner. */
@@ -178,7 +193,12 @@
   /** By end time, for removal after m_statusRetention. */
   std::set<std::pair<TimePoint, JobId>> m_ended;
   std::vector<JobId> m_removed;  ///< Rows to delete from the store.
-  std::vector<Order> m_orders;   ///< To be sent, in this order.
+  std::set<JobId> m_moving;      ///< Jobs on their way to another cell.
+  std::unordered_map<JobId, JobRoute> m_routes;
+  std::set<JobId> m_dirtyRoutes;       ///< Routes to store.
+  std::vector<JobId> m_removedRoutes;  ///< Routes to delete from the store.
+  OrderWindow m_window;
+  std::vector<Order> m_orders;  ///< To be sent, in this order.
   std::map<StepKey, StepAdvice> m_advice;
   uint32_t m_adviceCalls = 0;  ///< Calls without an answer yet.
   /** Number of jobs without a started task. */
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/** The clocks of two VMs may differ by far more than a job waits. */
+constexpr int64_t kMaxRestoredWaitMs = 60'000;
+
 StoredTask StoredOf(const Cell& aCell, const Task& aTask) {
   StoredTask stored;
   stored.m_run = aTask.m_run;
@@ -35,12 +38,16 @@
                      [](const Task& aTask) { return aTask.m_run.Value() > 0; });
 }
 
+}  // namespace
+
 StoredState StateOf(const Cell& aCell, const Job& aJob) {
   StoredState state;
   state.m_job = aJob.m_spec.m_id;
   state.m_phase = aJob.m_phase;
   state.m_nextOccurrence = aJob.m_nextOccurrence;
   state.m_anyStarted = aJob.m_anyStarted;
+  state.m_movingTo = aJob.m_movingTo;
+  state.m_moveCount = aJob.m_moveCount;
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
     StoredOccurrence stored;
     stored.m_number = number;
@@ -60,8 +67,6 @@
   return state;
 }
 
-}  // namespace
-
 namespace {
 
 /** Limits the size of one commit, at about 20 bytes per task. */
@@ -78,19 +83,48 @@
   return count;
 }
 
+/** Rows of one job at most: its spec and its state. */
+constexpr size_t kRowsPerJob = 2;
+
+/** Moves ids from the list to the commit; each deletes aRowsEach rows. An id
+ *  that is in use again since keeps its rows: the job has come back. */
+template <class Used>
+void TakeRemoved(std::vector<JobId>& aFrom, const Used& aUsed,
+                 std::vector<JobId>& aTo, size_t aRowsEach, size_t aMaxRows,
+                 size_t& aRows) {
+  while (!aFrom.empty() && aRows + aRowsEach <= aMaxRows) {
+    const JobId id = aFrom.back();
+    aFrom.pop_back();
+    if (aUsed.count(id) > 0) continue;
+    aTo.push_back(id);
+    aRows += aRowsEach;
+  }
+}
+
 }  // namespace
 
-Commit TakeCommit(Cell& aCell, size_t aMaxJobs, TimePoint aNow) {
+Commit TakeCommit(Cell& aCell, size_t aMaxRows, TimePoint aNow) {
   Commit commit;
+  size_t rows = 0;
   commit.m_unresponsive = TakeUnresponsiveRunners(aCell, aNow);
   if (aCell.m_interference.m_changes != aCell.m_interferenceTaken &&
       aNow - aCell.m_interferenceTakenAt >= kInterferenceStoreInterval) {
     commit.m_interference = ToStored(aCell.m_interference);
+    ++rows;
     aCell.m_interferenceTaken = aCell.m_interference.m_changes;
     aCell.m_interferenceTakenAt = aNow;
   }
+  while (!aCell.m_dirtyRoutes.empty() && rows < aMaxRows) {
+    const JobId id = *aCell.m_dirtyRoutes.begin();
+    aCell.m_dirtyRoutes.erase(aCell.m_dirtyRoutes.begin());
+    const auto found = aCell.m_routes.find(id);
+    if (found == aCell.m_routes.end()) continue;
+    commit.m_routes.push_back(
+        {id, found->second.m_cell, found->second.m_moveCount});
+    ++rows;
+  }
   size_t tasks = 0;
-  while (!aCell.m_dirty.empty() && commit.m_writes.size() < aMaxJobs &&
+  while (!aCell.m_dirty.empty() && rows + kRowsPerJob <= aMaxRows &&
          tasks < kMaxTasksPerCommit) {
     const JobId id = *aCell.m_dirty.begin();
     aCell.m_dirty.erase(aCell.m_dirty.begin());
@@ -100,12 +134,13 @@
     tasks += TaskCount(job);
     JobWrite write{id, job.m_version, {}, StateOf(aCell, job)};
     if (!job.m_specStored) write.m_spec = job.m_spec;
+    rows += write.m_spec ? kRowsPerJob : 1;
     commit.m_writes.push_back(std::move(write));
   }
-  while (!aCell.m_removed.empty() && commit.m_removed.size() < aMaxJobs) {
-    commit.m_removed.push_back(aCell.m_removed.back());
-    aCell.m_removed.pop_back();
-  }
+  TakeRemoved(aCell.m_removed, aCell.m_jobs, commit.m_removed, kRowsPerJob,
+              aMaxRows, rows);
+  TakeRemoved(aCell.m_removedRoutes, aCell.m_routes, commit.m_removedRoutes, 1,
+              aMaxRows, rows);
   return commit;
 }
 
@@ -118,6 +153,10 @@
     found->second.m_storedVersion = write.m_version;
     OrderStarts(aCell, write.m_job, aNow);
   }
+  for (const StoredRoute& route : aCommit.m_routes) {
+    const auto found = aCell.m_routes.find(route.m_job);
+    if (found != aCell.m_routes.end()) found->second.m_stored = true;
+  }
   for (Runner& runner : aCell.m_runners) {
     if (!runner.m_unstoredEnds.empty()) ReleaseStoredEnds(aCell, runner, aNow);
   }
@@ -129,8 +168,19 @@
   }
   aCell.m_removed.insert(aCell.m_removed.end(), aCommit.m_removed.begin(),
                          aCommit.m_removed.end());
+  for (const StoredRoute& route : aCommit.m_routes) {
+    if (aCell.m_routes.count(route.m_job) > 0) {
+      aCell.m_dirtyRoutes.insert(route.m_job);
+    }
+  }
+  aCell.m_removedRoutes.insert(aCell.m_removedRoutes.end(),
+                               aCommit.m_removedRoutes.begin(),
+                               aCommit.m_removedRoutes.end());
   aCell.m_commitWanted = true;
-  if (aCommit.m_interference) aCell.m_interferenceTakenAt = TimePoint();
+  if (aCommit.m_interference) {
+    aCell.m_interferenceTakenAt = TimePoint();
+    aCell.m_interferenceTaken = 0;
+  }
 }
 
 namespace {
@@ -194,8 +244,8 @@
     for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
       aCell.m_queue.erase(QueueKeyOf(aJob, aStored.m_number, step));
     }
-    const int64_t waited =
-        std::max<int64_t>(0, (aUnixNow - aJob.m_spec.m_acceptedAt).Value());
+    const int64_t waited = std::clamp<int64_t>(
+        (aUnixNow - aJob.m_spec.m_acceptedAt).Value(), 0, kMaxRestoredWaitMs);
     occurrence.m_due -= milliseconds(waited);
   }
   uint32_t at = 0;
@@ -216,6 +266,7 @@
   const JobId id = aSpec.m_id;
   Job& job = aCell.m_jobs[id];
   job.m_spec = std::move(aSpec);
+  job.m_moveCount = aState.m_moveCount;
   job.m_specStored = true;
   job.m_storedVersion = job.m_version;
   job.m_anyStarted = aState.m_anyStarted;
@@ -231,6 +282,11 @@
     aCell.m_dirty.erase(id);
     return;
   }
+  if (aState.m_movingTo) {
+    job.m_movingTo = aState.m_movingTo;
+    DropFromQueue(aCell, job);
+    aCell.m_moving.insert(id);
+  }
   if (job.m_spec.m_maxRuns == 0) {
     if (!job.m_anyStarted) ++aCell.m_pending[job.m_spec.m_queue];
   } else if (job.m_nextOccurrence < job.m_spec.m_maxRuns) {
--- a/src/core/sched/commit_cmd.h
+++ b/src/core/sched/commit_cmd.h
@@ -36,6 +36,8 @@
   JobPhase m_phase = JobPhase::Active;
   uint32_t m_nextOccurrence = 0;
   bool m_anyStarted = false;
+  std::optional<CellId> m_movingTo;  ///< The job belongs to this cell.
+  uint32_t m_moveCount = 0;
   /** Empty once the job and all its runs have ended. */
   std::vector<StoredOccurrence> m_occurrences;
 };
@@ -48,20 +50,33 @@
   StoredState m_state;
 };
 
+/** The cell that schedules a job whose home is this cell. */
+struct StoredRoute {
+  JobId m_job;
+  CellId m_cell;
+  uint32_t m_moveCount = 0;  ///< See JobRoute.
+};
+
 struct Commit {
   std::vector<JobWrite> m_writes;
   std::vector<JobId> m_removed;
+  std::vector<StoredRoute> m_routes;
+  std::vector<JobId> m_removedRoutes;
   std::vector<UnresponsiveRunner>
       m_unresponsive;  ///< Replaces the stored list.
   std::optional<StoredInterference>
       m_interference;  ///< Set at intervals, if it has changed.
 };
 
-/** @param aMaxJobs limits the rows of one transaction. */
-[[nodiscard]] Commit TakeCommit(Cell& aCell, size_t aMaxJobs, TimePoint aNow);
+/** @return the job's state as it is stored. */
+[[nodiscard]] StoredState StateOf(const Cell& aCell, const Job& aJob);
+
+/** @param aMaxRows limits the rows that the commit writes or deletes. */
+[[nodiscard]] Commit TakeCommit(Cell& aCell, size_t aMaxRows, TimePoint aNow);
 
 [[nodiscard]] inline bool HasCommit(const Cell& aCell) {
   return !aCell.m_dirty.empty() || !aCell.m_removed.empty() ||
+         !aCell.m_dirtyRoutes.empty() || !aCell.m_removedRoutes.empty() ||
          aCell.m_commitWanted;
 }
 
--- a/src/core/sched/interference_func.cpp
+++ b/src/core/sched/interference_func.cpp
@@ -24,15 +24,17 @@
 
 void GrowTable(ImageInterferenceTable& aTable, size_t aImages) {
   const size_t stride = std::max<size_t>(8, aImages * 2);
-  std::vector<InterferenceSums> pairs(stride * stride);
-  for (size_t bestEffort = 0; bestEffort < aTable.m_stride; ++bestEffort) {
-    for (size_t latencyCritical = 0; latencyCritical < aTable.m_stride;
-         ++latencyCritical) {
-      pairs[bestEffort * stride + latencyCritical] =
-          aTable.m_pairs[bestEffort * aTable.m_stride + latencyCritical];
+  for (auto* pairs : {&aTable.m_pairs, &aTable.m_sharedPairs}) {
+    std::vector<InterferenceSums> grown(stride * stride);
+    for (size_t bestEffort = 0; bestEffort < aTable.m_stride; ++bestEffort) {
+      for (size_t latencyCritical = 0; latencyCritical < aTable.m_stride;
+           ++latencyCritical) {
+        grown[bestEffort * stride + latencyCritical] =
+            (*pairs)[bestEffort * aTable.m_stride + latencyCritical];
+      }
     }
+    *pairs = std::move(grown);
   }
-  aTable.m_pairs = std::move(pairs);
   aTable.m_lowestTailMs.resize(stride, 0.0);
   aTable.m_stride = stride;
 }
@@ -59,17 +61,21 @@
 
 namespace {
 
-double Weight(const InterferenceSums& aPair) {
-  return aPair.m_cross / (aPair.m_square + kPriorEvidence);
+double Weight(const ImageInterferenceTable& aTable, ImageIndex aBestEffort,
+              ImageIndex aLatencyCritical) {
+  const size_t at =
+      aBestEffort.Value() * aTable.m_stride + aLatencyCritical.Value();
+  const InterferenceSums& own = aTable.m_pairs[at];
+  const InterferenceSums& shared = aTable.m_sharedPairs[at];
+  return (own.m_cross + shared.m_cross) /
+         (own.m_square + shared.m_square + kPriorEvidence);
 }
 
 }  // namespace
 
 double InterferenceOf(const ImageInterferenceTable& aTable,
                       ImageIndex aBestEffort, ImageIndex aLatencyCritical) {
-  const double weight =
-      Weight(aTable.m_pairs[aBestEffort.Value() * aTable.m_stride +
-                            aLatencyCritical.Value()]);
+  const double weight = Weight(aTable, aBestEffort, aLatencyCritical);
   return weight < kMinWeight ? 0.0 : weight;
 }
 
@@ -103,14 +109,16 @@
   double predicted = 0.0;
   for (const UsedShare& change : aChanges) {
     predicted +=
-        Weight(Pair(aTable, change.m_image, aLatencyCritical)) * change.m_share;
+        Weight(aTable, change.m_image, aLatencyCritical) * change.m_share;
   }
   const double error = aLoadChange - predicted;
   if (!aChanges.empty()) ++aTable.m_changes;
   for (const UsedShare& change : aChanges) {
     InterferenceSums& pair = Pair(aTable, change.m_image, aLatencyCritical);
     // Attributes to this image what the others do not explain.
-    const double part = error + Weight(pair) * change.m_share;
+    const double part =
+        error +
+        Weight(aTable, change.m_image, aLatencyCritical) * change.m_share;
     pair.m_cross += change.m_share * part;
     pair.m_square += change.m_share * change.m_share;
     if (pair.m_square <= kMaxEvidence) continue;
@@ -154,4 +162,26 @@
   }
 }
 
+void ShareInterference(ImageInterferenceTable& aTable,
+                       const std::map<CellId, StoredInterference>& aOthers) {
+  std::fill(aTable.m_sharedPairs.begin(), aTable.m_sharedPairs.end(),
+            InterferenceSums());
+  for (const auto& [cell, stored] : aOthers) {
+    for (const StoredInterference::LowestTail& entry : stored.m_lowestTails) {
+      RecordTail(aTable, FindOrAddImage(aTable, entry.m_image), entry.m_tailMs);
+    }
+    for (const StoredInterference::Pair& pair : stored.m_pairs) {
+      const ImageIndex bestEffort =
+          FindOrAddImage(aTable, pair.m_bestEffortImage);
+      const ImageIndex latencyCritical =
+          FindOrAddImage(aTable, pair.m_latencyCriticalImage);
+      InterferenceSums& sums =
+          aTable.m_sharedPairs[bestEffort.Value() * aTable.m_stride +
+                               latencyCritical.Value()];
+      sums.m_cross += pair.m_sums.m_cross;
+      sums.m_square += pair.m_sums.m_square;
+    }
+  }
+}
+
 }  // namespace bronze::sched
--- a/src/core/sched/interference_func.h
+++ b/src/core/sched/interference_func.h
@@ -6,6 +6,9 @@
 #ifndef BRONZE_CORE_SCHED_INTERFERENCE_FUNC_H_
 #define BRONZE_CORE_SCHED_INTERFERENCE_FUNC_H_
 
+#include <map>
+
+#include "core/base/id_type.h"
 #include "core/sched/interference_type.h"
 
 namespace bronze::sched {
@@ -49,6 +52,11 @@
 void RestoreInterference(ImageInterferenceTable& aTable,
                          const StoredInterference& aStored);
 
+/** Replaces what other cells have learned. It counts beside the own
+ *  measurements and is not part of ToStored. */
+void ShareInterference(ImageInterferenceTable& aTable,
+                       const std::map<CellId, StoredInterference>& aOthers);
+
 }  // namespace bronze::sched
 
 #endif  // BRONZE_CORE_SCHED_INTERFERENCE_FUNC_H_
--- a/src/core/sched/interference_type.h
+++ b/src/core/sched/interference_type.h
@@ -39,6 +39,8 @@
   size_t m_stride = 0;  ///< Images that a row has space for.
   /** [best-effort * m_stride + latency-critical]. */
   std::vector<InterferenceSums> m_pairs;
+  /** The same, learned by other cells; the sums of all of them. */
+  std::vector<InterferenceSums> m_sharedPairs;
   /** Per image: lowest tail latency seen, in ms; 0: none. */
   std::vector<double> m_lowestTailMs;
   uint64_t m_changes = 0;  ///< Incremented by each update of the sums.
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -157,38 +157,6 @@
   return found == aCell.m_pending.end() ? 0 : found->second;
 }
 
-namespace {
-
-/** Removes the job and everything that the cell holds for it. */
-void ForgetUnstored(Cell& aCell, Job& aJob) {
-  const JobId id = aJob.m_spec.m_id;
-  for (auto& [number, occurrence] : aJob.m_occurrences) {
-    for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
-      aCell.m_queue.erase(QueueKeyOf(aJob, number, step));
-      for (uint32_t i = 0; i < aJob.m_spec.m_steps[step].m_count; ++i) {
-        const TaskKey key{id, number, step, i};
-        const TaskPlace place = FindTask(aCell, key);
-        if (HasPlace(place.m_task->m_phase)) {
-          Release(aCell, key, *place.m_step, *place.m_task);
-        }
-      }
-    }
-  }
-  if (aJob.m_spec.m_maxRuns == 0 && aJob.m_phase == JobPhase::Active) {
-    auto& pending = aCell.m_pending[aJob.m_spec.m_queue];
-    if (pending > 0) --pending;
-  }
-  aCell.m_scheduled.erase({aJob.m_spec.m_startTime, id});
-  if (aJob.m_phase != JobPhase::Active) {
-    aCell.m_ended.erase({aJob.m_endedAt, id});
-  }
-  ForgetAdvice(aCell, id);
-  aCell.m_dirty.erase(id);
-  aCell.m_jobs.erase(id);
-}
-
-}  // namespace
-
 std::vector<JobId> WithdrawUnstored(Cell& aCell, const std::set<JobId>& aKept) {
   std::vector<JobId> withdrawn;
   const std::set<JobId> dirty = aCell.m_dirty;
@@ -198,7 +166,16 @@
         aKept.count(id) > 0) {
       continue;
     }
-    ForgetUnstored(aCell, found->second);
+    ForgetJob(aCell, found->second);
+    withdrawn.push_back(id);
+  }
+  const std::set<JobId> dirtyRoutes = aCell.m_dirtyRoutes;
+  for (const JobId id : dirtyRoutes) {
+    // The route of a job that has moved replaces the job.
+    const bool hasMoved = aCell.m_routes.at(id).m_moveCount > 0;
+    if (hasMoved || aKept.count(id) > 0) continue;
+    aCell.m_dirtyRoutes.erase(id);
+    aCell.m_routes.erase(id);
     withdrawn.push_back(id);
   }
   return withdrawn;
@@ -238,6 +215,10 @@
   return false;
 }
 
+/** A job that came from another cell is kept for longer: if that cell has been
+ *  without an owner, it sends the job again, which must not run twice. */
+constexpr Duration kMovedJobRetention = seconds(900);
+
 void RemoveOldJobs(Cell& aCell, TimePoint aNow) {
   while (!aCell.m_ended.empty() &&
          aCell.m_ended.begin()->first + aCell.m_settings.m_statusRetention <
@@ -246,7 +227,11 @@
     aCell.m_ended.erase(aCell.m_ended.begin());
     const auto found = aCell.m_jobs.find(id);
     if (found == aCell.m_jobs.end()) continue;
-    if (HasPlacedTask(found->second) ||
+    // The cell that the job came from may not know yet that it arrived.
+    const bool mayComeAgain =
+        found->second.m_moveCount > 0 &&
+        aNow - found->second.m_endedAt < kMovedJobRetention;
+    if (mayComeAgain || HasPlacedTask(found->second) ||
         found->second.m_storedVersion < found->second.m_version) {
       aCell.m_ended.emplace(aNow, id);
       continue;
--- a/src/core/sched/job_cmd.h
+++ b/src/core/sched/job_cmd.h
@@ -62,8 +62,8 @@
 [[nodiscard]] uint32_t PendingJobs(const Cell& aCell, const QueueId& aQueue);
 
 /**
- * Removes the jobs that are not stored yet, except those in aKept, so that
- * their callers can be told that they never run.
+ * Removes the jobs and routes that are not stored yet, except those in aKept,
+ * so that their callers can be told that they never run.
  * @return the removed jobs.
  */
 [[nodiscard]] std::vector<JobId> WithdrawUnstored(Cell& aCell,
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -187,7 +187,13 @@
   uint64_t m_version = 1;         ///< Incremented by each change to be stored.
   uint64_t m_storedVersion = 0;   ///< Highest version that is durable.
   bool m_specStored = false;
-  TimePoint m_endedAt;  ///< When it left Active.
+  /** Set while the job moves to another cell (move_cmd.h): nothing of it is
+   *  placed here any more. */
+  std::optional<CellId> m_movingTo;
+  uint32_t m_moveCount = 0;    ///< Moves that have begun.
+  uint64_t m_moveVersion = 0;  ///< Version that contains m_movingTo.
+  TimePoint m_moveTryAt;       ///< Next time at which it is sent.
+  TimePoint m_endedAt;         ///< When it left Active.
 };
 
 }  // namespace bronze::sched
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 
 #include "core/sched/advice_cmd.h"
+#include "core/sched/order_window_func.h"
 #include "core/sched/runner_internal.h"
 #include "core/sched/task_internal.h"
 #include "core/sched/unresponsive_runner_cmd.h"
@@ -35,6 +36,10 @@
 /** Ends are acknowledged only within this time after the last answer. A runner
  *  that restarts needs longer than this to run a task and end it. */
 constexpr Duration kAckMaxReportAge = milliseconds(200);
+/** After its lease has ended, a runner that cannot be reached but is listed has
+ *  this much time to report how its runs ended. Cuts between an owner and
+ * single runners usually last less than a lease and this time together. */
+constexpr Duration kLapsedReportWait = seconds(10);
 /** Differs from every valid pace, so that the next report triggers a new
  *  order. */
 constexpr int kPaceUnknown = -1;
@@ -48,21 +53,45 @@
   return std::chrono::duration_cast<milliseconds>(aDuration).count();
 }
 
-/** All runs there have ended, with the runner's instance or with its lease:
- *  requeues their tasks. */
+/** The run has ended with the runner's instance or with its lease: requeues the
+ *  task. */
+void RequeueRun(Cell& aCell, const Runner& aRunner, const TaskKey& aKey,
+                TimePoint aNow, std::string_view aReason) {
+  const TaskPlace place = FindTask(aCell, aKey);
+  if (place.m_task == nullptr) return;
+  if (place.m_task->m_phase == TaskPhase::Intended) return;
+  LogDecision(
+      aCell,
+      fmt::format("run ended with its runner task={} run={} runner={} by={}",
+                  TaskText(aKey), place.m_task->m_run.Value(),
+                  aRunner.m_entry.m_id.Value(), aReason));
+  Requeue(aCell, aKey, place, aNow);
+}
+
+/** All runs there have ended, with the runner's instance: requeues their
+ *  tasks. */
 void RequeueRuns(Cell& aCell, Runner& aRunner, TimePoint aNow,
                  std::string_view aReason) {
   const std::vector<TaskKey> keys = aRunner.m_tasks;
+  for (const TaskKey& key : keys) {
+    RequeueRun(aCell, aRunner, key, aNow, aReason);
+  }
+}
+
+/** The lease there has ended, and with it all runs. A run that ends by itself
+ *  may have succeeded before that, so its task is kept while the runner is
+ *  listed and thus alive: its next report tells. */
+void RequeueLapsedRuns(Cell& aCell, Runner& aRunner, TimePoint aNow,
+                       std::string_view aReason) {
+  const bool mayReport =
+      aRunner.m_listed && aNow < aRunner.m_lapsesAt + kLapsedReportWait;
+  const std::vector<TaskKey> keys = aRunner.m_tasks;
   for (const TaskKey& key : keys) {
     const TaskPlace place = FindTask(aCell, key);
-    if (place.m_task == nullptr) continue;
-    if (place.m_task->m_phase == TaskPhase::Intended) continue;
-    LogDecision(
-        aCell,
-        fmt::format("run ended with its runner task={} run={} runner={} by={}",
-                    TaskText(key), place.m_task->m_run.Value(),
-                    aRunner.m_entry.m_id.Value(), aReason));
-    Requeue(aCell, key, place, aNow);
+    const bool mayHaveSucceeded =
+        place.m_step != nullptr && !place.m_step->m_longRunning;
+    if (mayReport && mayHaveSucceeded) continue;
+    RequeueRun(aCell, aRunner, key, aNow, aReason);
   }
 }
 
@@ -205,7 +234,10 @@
                                         TimePoint aNow) {
   Runner& runner = aCell.m_runners[aRunner.Value()];
   if (runner.m_renewalPending || runner.m_entry.m_address.empty()) return {};
-  if (aNow < runner.m_nextRenewalAt) return {};
+  if (aNow < runner.m_nextRenewalAt ||
+      aNow - runner.m_renewalOrderedAt < RenewalSpacing(aCell.m_window)) {
+    return {};
+  }
   if (runner.m_awaitsFence && aCell.m_newestFence <= runner.m_fence) return {};
   const bool hasWork = !runner.m_tasks.empty() || runner.m_hasUnknownRuns ||
                        !runner.m_unstoredEnds.empty() ||
@@ -260,6 +292,7 @@
     }
   }
   runner.m_renewalPending = true;
+  runner.m_renewalOrderedAt = aNow;
   return order;
 }
 
@@ -281,10 +314,16 @@
 
 void ApplyStartAnswer(Cell& aCell, const StartOrder& aOrder,
                       OrderOutcome aOutcome, TimePoint aNow) {
+  if (aCell.m_window.m_inFlight > 0) --aCell.m_window.m_inFlight;
+  aCell.m_capacityChanged = aCell.m_capacityChanged || aCell.m_window.m_wasFull;
+  aCell.m_window.m_wasFull = false;
   const TaskPlace place = FindTask(aCell, aOrder.m_task);
   if (place.m_task == nullptr) return;
   Task& task = *place.m_task;
   if (task.m_run != aOrder.m_run || task.m_phase != TaskPhase::Starting) return;
+  if (aOutcome != OrderOutcome::NotSent) {
+    NoteAnswer(aCell.m_window, aNow - task.m_phaseSince, aNow);
+  }
   Runner& runner = aCell.m_runners[aOrder.m_runner.Value()];
   switch (aOutcome) {
     case OrderOutcome::Applied:
@@ -390,14 +429,16 @@
   for (Runner& runner : aCell.m_runners) {
     if (runner.m_tasks.empty()) continue;
     if (aNow > runner.m_lapsesAt && runner.m_missedRenewals > 0) {
-      ++aCell.m_counts.m_lapsedRunners;
-      RequeueRuns(aCell, runner, aNow, "lapse");
+      if (!runner.m_lapseCounted) ++aCell.m_counts.m_lapsedRunners;
+      runner.m_lapseCounted = true;
+      RequeueLapsedRuns(aCell, runner, aNow, "lapse");
       continue;
     }
+    runner.m_lapseCounted = false;
     // This owner never reached the runner: only the end of its lease ends its
     // runs.
     if (aNow > runner.m_lapsesAt && !runner.m_contacted) {
-      RequeueRuns(aCell, runner, aNow, "lapse-unreached");
+      RequeueLapsedRuns(aCell, runner, aNow, "lapse-unreached");
       continue;
     }
     const std::vector<TaskKey> keys = runner.m_tasks;
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -97,9 +97,11 @@
   /** The stored owner row may contain m_lapsesAt (unresponsive_runner_cmd.h).
    *  No later lease end is ordered until a row without it is durable. */
   bool m_lapseStored = false;
+  bool m_lapseCounted = false;  ///< The end of its lease was counted.
 
   bool m_renewalPending = false;
   TimePoint m_nextRenewalAt;
+  TimePoint m_renewalOrderedAt;   ///< When the last renewal was ordered.
   uint32_t m_missedRenewals = 0;  ///< Consecutive renewals without an answer.
   bool m_refused = false;         ///< The last connection was refused.
 
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -11,6 +11,7 @@
 
 #include "core/sched/advice_cmd.h"
 #include "core/sched/job_cmd.h"
+#include "core/sched/order_window_func.h"
 #include "core/sched/placement_func.h"
 #include "core/sched/preemption_cmd.h"
 #include "core/sched/task_internal.h"
@@ -36,6 +37,7 @@
                   TimePoint aNow) {
   Task& task = *aPlace.m_task;
   task.m_phase = TaskPhase::Intended;
+  ++aCell.m_window.m_intended;
   task.m_phaseSince = aNow;
   aCell.m_runners[task.m_runner.Value()].m_lastPlacedAt = aNow;
   task.m_run = aRun;
@@ -274,6 +276,10 @@
     const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task->m_phase != TaskPhase::Ready) continue;
+    if (!HasRoom(aCell.m_window)) {
+      aCell.m_window.m_wasFull = true;
+      return any ? StepResult::SomeLeft : StepResult::NonePlaced;
+    }
     // The run number is durable with the chosen runner, unlike the confirmation
     // of the start.
     const bool isNew = !job.m_anyStarted && place.m_task->m_run.Value() == 0;
@@ -309,20 +315,6 @@
 
 namespace {
 
-/** @return the cores that the step's waiting tasks need. */
-Millicores WaitingCores(const Job& aJob, const QueueKey& aKey) {
-  const StepSpec& step = aJob.m_spec.m_steps[aKey.m_step];
-  const Occurrence& occurrence = aJob.m_occurrences.at(aKey.m_occurrence);
-  const uint32_t first = aJob.m_stepOffset[aKey.m_step];
-  int64_t waiting = 0;
-  for (uint32_t index = 0; index < step.m_count; ++index) {
-    if (occurrence.m_tasks[first + index].m_phase == TaskPhase::Ready) {
-      ++waiting;
-    }
-  }
-  return Millicores(waiting * step.m_need.m_cores.Value());
-}
-
 /** Updates the decaying peak of the cores that short tasks hold or wait for. */
 void UpdateShortDemand(Cell& aCell, TimePoint aNow) {
   aCell.m_shortDemand = Millicores();
@@ -356,6 +348,12 @@
   for (auto at = aCell.m_queue.begin();
        at != aCell.m_queue.end() &&
        pass.m_failedSearches < aCell.m_settings.m_maxFailedSearches;) {
+    // The next answer to a start begins another pass.
+    if (!HasRoom(aCell.m_window)) {
+      ++aCell.m_counts.m_windowFull;
+      aCell.m_window.m_wasFull = true;
+      break;
+    }
     const StepResult result = PlaceStep(aCell, *at, pass, aNow);
     if (result == StepResult::AllPlaced) {
       at = aCell.m_queue.erase(at);
@@ -399,6 +397,8 @@
         runner.m_fence = std::max(runner.m_fence, aCell.m_newestFence);
         task.m_phase = TaskPhase::Starting;
         task.m_phaseSince = aNow;
+        --aCell.m_window.m_intended;
+        ++aCell.m_window.m_inFlight;
         ++aCell.m_counts.m_starts;
         aCell.m_orders.emplace_back(StartOrder{key, task.m_run, task.m_runner,
                                                task.m_checkpoint,
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -43,6 +43,19 @@
          aPhase != TaskPhase::Done;
 }
 
+Millicores WaitingCores(const Job& aJob, const QueueKey& aKey) {
+  const StepSpec& step = aJob.m_spec.m_steps[aKey.m_step];
+  const Occurrence& occurrence = aJob.m_occurrences.at(aKey.m_occurrence);
+  const uint32_t first = aJob.m_stepOffset[aKey.m_step];
+  int64_t waiting = 0;
+  for (uint32_t index = 0; index < step.m_count; ++index) {
+    if (occurrence.m_tasks[first + index].m_phase == TaskPhase::Ready) {
+      ++waiting;
+    }
+  }
+  return Millicores(waiting * step.m_need.m_cores.Value());
+}
+
 namespace {
 
 void AddBestEffortDemand(Runner& aRunner, const StepSpec& aStep,
@@ -76,6 +89,7 @@
              Task& aTask) {
   Runner& runner = aCell.m_runners[aTask.m_runner.Value()];
   std::erase(runner.m_tasks, aKey);
+  if (aTask.m_phase == TaskPhase::Intended) --aCell.m_window.m_intended;
   aTask.m_runner = RunnerIndex();
   aTask.m_pace = 100;
   aTask.m_measure = 0;
@@ -277,6 +291,42 @@
   if (aPhase == JobPhase::Cancelled) ++aCell.m_counts.m_cancelled;
 }
 
+void DropFromQueue(Cell& aCell, const Job& aJob) {
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
+      aCell.m_queue.erase(QueueKeyOf(aJob, number, step));
+    }
+  }
+}
+
+void ForgetJob(Cell& aCell, Job& aJob) {
+  const JobId id = aJob.m_spec.m_id;
+  DropFromQueue(aCell, aJob);
+  for (auto& [number, occurrence] : aJob.m_occurrences) {
+    for (uint32_t step = 0; step < aJob.m_spec.m_steps.size(); ++step) {
+      for (uint32_t i = 0; i < aJob.m_spec.m_steps[step].m_count; ++i) {
+        const TaskKey key{id, number, step, i};
+        const TaskPlace place = FindTask(aCell, key);
+        if (HasPlace(place.m_task->m_phase)) {
+          Release(aCell, key, *place.m_step, *place.m_task);
+        }
+      }
+    }
+  }
+  if (aJob.m_spec.m_maxRuns == 0 && aJob.m_phase == JobPhase::Active) {
+    auto& pending = aCell.m_pending[aJob.m_spec.m_queue];
+    if (pending > 0) --pending;
+  }
+  aCell.m_scheduled.erase({aJob.m_spec.m_startTime, id});
+  if (aJob.m_phase != JobPhase::Active) {
+    aCell.m_ended.erase({aJob.m_endedAt, id});
+  }
+  ForgetAdvice(aCell, id);
+  aCell.m_dirty.erase(id);
+  aCell.m_moving.erase(id);
+  aCell.m_jobs.erase(id);
+}
+
 void IndexSteps(Cell& aCell, Job& aJob) {
   aJob.m_stepOffset.clear();
   uint32_t offset = 0;
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -36,6 +36,15 @@
 [[nodiscard]] bool PredecessorsDone(const StepSpec& aStep,
                                     const Occurrence& aOccurrence);
 
+/** @return the cores that the step's waiting tasks need. */
+[[nodiscard]] Millicores WaitingCores(const Job& aJob, const QueueKey& aKey);
+
+/** Removes all steps of the job from the queue. */
+void DropFromQueue(Cell& aCell, const Job& aJob);
+
+/** Removes the job and everything that the cell holds for it; its rows stay. */
+void ForgetJob(Cell& aCell, Job& aJob);
+
 /** Reserves the step's resources on the runner and assigns the task to it. */
 void Reserve(Cell& aCell, const TaskKey& aKey, const StepSpec& aStep,
              Task& aTask, RunnerIndex aRunner);
--- a/src/platform/caller_wire.cpp
+++ b/src/platform/caller_wire.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <charconv>
 
 #include "platform/wire_decode.h"
@@ -165,7 +166,9 @@
 HttpReply RefusalReply(const Error& aError, Duration aRetryAfter) {
   HttpReply reply;
   reply.m_status = StatusOf(aError.m_kind);
-  reply.m_body = fmt::format(R"({{"error":"{}"}})", aError.m_message);
+  // The text may quote the caller's input, so it has to be escaped.
+  reply.m_body =
+      boost::json::serialize(boost::json::object{{"error", aError.m_message}});
   if (reply.m_status == 503 || reply.m_status == 429) {
     const auto whole =
         std::chrono::ceil<seconds>(std::max(aRetryAfter, Duration(1))).count();
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -79,6 +79,9 @@
 constexpr double kDefaultGraceSeconds = 6.0;
 constexpr int64_t kDefaultMaxLeaseMs = 6000;
 constexpr double kDefaultStatusSeconds = 120.0;
+constexpr double kDefaultLinkMbps = 1000.0;
+constexpr int64_t kDefaultConfigApplyMs = 2000;
+constexpr int64_t kDefaultDrainMs = 2000;
 
 NodeConfig Read(Reader& aReader) {
   NodeConfig config;
@@ -102,6 +105,12 @@
     }
   }
   config.m_cpuShare = aReader.Get({"limits", "cpu_share"}, 1.0, false);
+  config.m_linkMbps =
+      aReader.Get({"limits", "link_mbps"}, kDefaultLinkMbps, false);
+  config.m_configApply =
+      aReader.Millis({"bounds", "config_apply_ms"}, kDefaultConfigApplyMs);
+  config.m_drainNotice =
+      aReader.Millis({"bounds", "drain_ms"}, kDefaultDrainMs);
   config.m_grace = aReader.Seconds({"bounds", "grace_s"}, kDefaultGraceSeconds);
   config.m_maxLease =
       aReader.Millis({"bounds", "max_hold_ms"}, kDefaultMaxLeaseMs);
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -24,7 +24,11 @@
   boost::asio::ip::tcp::endpoint m_storeAddress;
   /** Advice service; not set if the deployment has none. */
   std::optional<boost::asio::ip::tcp::endpoint> m_adviceAddress;
-  double m_cpuShare = 1.0;       ///< CPU limit of this process, in cores.
+  double m_cpuShare = 1.0;     ///< CPU limit of this process, in cores.
+  double m_linkMbps = 1000.0;  ///< Bandwidth of the VM's link.
+  Duration m_configApply{};    ///< A configuration is in force within this.
+  /** A runner that says that it leaves gets no task later than this. */
+  Duration m_drainNotice{};
   Duration m_grace{};            ///< Time from SIGTERM to SIGKILL.
   Duration m_maxLease{};         ///< Runners cut longer leases to this.
   double m_spreadFactor = 1.0;   ///< Run time factor outside the data's rack.
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -18,8 +18,9 @@
 namespace json = boost::json;
 using sched::OrderOutcome;
 
-/** One for the lease renewal that waits at the runner, the rest for orders. */
-constexpr size_t kIdleConnectionsPerRunner = 4;
+/** One for the lease renewal that waits at the runner, the rest for orders.
+ *  Further orders wait in turn. */
+constexpr size_t kConnectionsPerRunner = 4;
 constexpr size_t kMaxAnswerBytes = size_t{1} << 20;
 /** Orders are normally answered in a few milliseconds. After this time the
  *  answer counts as lost. */
@@ -27,6 +28,10 @@
 /** Added to the wait that a lease renewal asks for. */
 constexpr Duration kRenewalMargin = milliseconds(700);
 
+/** Lease renewals, stops and paces go before starts: they protect work that is
+ *  running. */
+const CallOptions kUrgent{true, {}};
+
 OrderOutcome OutcomeOf(const CallOutcome& aOutcome) {
   if (aOutcome.m_stage == CallStage::NotConnected) {
     return OrderOutcome::NotSent;
@@ -75,11 +80,13 @@
 }  // namespace
 
 RunnerClient::RunnerClient(boost::asio::io_context& aContext)
-    : m_client(aContext, kIdleConnectionsPerRunner, kMaxAnswerBytes) {}
+    : m_client(aContext, kConnectionsPerRunner, kMaxAnswerBytes,
+               kConnectionsPerRunner) {}
 
 void RunnerClient::Post(const RunnerTarget& aTarget, std::string aPath,
                         std::string aBody, Duration aTimeout,
-                        std::function<void(CallOutcome)> aHandler) {
+                        std::function<void(CallOutcome)> aHandler,
+                        CallOptions aOptions) {
   const auto address = ParseAddress(aTarget.m_address);
   if (!address) {
     CallOutcome outcome;
@@ -93,13 +100,15 @@
   call.m_headers = {{"Content-Type", "application/json"},
                     {"X-Expect-Instance", aTarget.m_id.Value()}};
   call.m_body = std::move(aBody);
-  m_client.Call(address.value(), call, aTimeout, std::move(aHandler));
+  m_client.Call(address.value(), call, aTimeout, std::move(aHandler),
+                std::move(aOptions));
 }
 
 void RunnerClient::Start(const RunnerTarget& aTarget,
                          const sched::StartOrder& aOrder,
                          const std::string& aPayload,
                          sched::RunnerMillis aDeadline,
+                         std::function<bool()> aMayBegin,
                          std::function<void(OrderAnswer)> aHandler) {
   json::object body{{"task", sched::TaskText(aOrder.m_task)},
                     {"run", aOrder.m_run.Value()},
@@ -109,7 +118,7 @@
   if (!aOrder.m_checkpoint.empty()) body["checkpoint"] = aOrder.m_checkpoint;
   if (!aOrder.m_ticket.empty()) body["ticket"] = aOrder.m_ticket;
   Post(aTarget, "/bronzeworks/run-start", json::serialize(body), kOrderTimeout,
-       OrderHandler(std::move(aHandler)));
+       OrderHandler(std::move(aHandler)), {false, std::move(aMayBegin)});
 }
 
 void RunnerClient::Stop(const RunnerTarget& aTarget,
@@ -119,7 +128,7 @@
                           {"run", aOrder.m_run.Value()},
                           {"fence", aTarget.m_fence.Value()}};
   Post(aTarget, "/bronzeworks/run-stop", json::serialize(body), kOrderTimeout,
-       OrderHandler(std::move(aHandler)));
+       OrderHandler(std::move(aHandler)), kUrgent);
 }
 
 void RunnerClient::Pace(const RunnerTarget& aTarget,
@@ -130,7 +139,7 @@
                           {"percent", aOrder.m_percent},
                           {"fence", aTarget.m_fence.Value()}};
   Post(aTarget, "/bronzeworks/pace", json::serialize(body), kOrderTimeout,
-       OrderHandler(std::move(aHandler)));
+       OrderHandler(std::move(aHandler)), kUrgent);
 }
 
 void RunnerClient::RenewLease(const sched::RenewalOrder& aOrder,
@@ -143,23 +152,25 @@
   const auto wait =
       std::chrono::duration_cast<milliseconds>(aOrder.m_wait).count();
   if (wait > 0) body["wait_ms"] = wait;
-  Post({aOrder.m_address, aOrder.m_id, aOrder.m_fence}, "/bronzeworks/hold",
-       json::serialize(body), aOrder.m_wait + kRenewalMargin,
-       [handler = std::move(aHandler)](CallOutcome aOutcome) {
-         RenewalAnswer answer;
-         answer.m_outcome = OutcomeOf(aOutcome);
-         answer.m_error = ErrorOf(aOutcome);
-         if (answer.m_outcome == OrderOutcome::Applied) {
-           auto report = DecodeRunnerReport(aOutcome.m_reply.m_body);
-           if (report) {
-             answer.m_report = std::move(report.value());
-           } else {
-             answer.m_outcome = OrderOutcome::Unknown;
-             answer.m_error = report.error().m_message;
-           }
-         }
-         handler(std::move(answer));
-       });
+  Post(
+      {aOrder.m_address, aOrder.m_id, aOrder.m_fence}, "/bronzeworks/hold",
+      json::serialize(body), aOrder.m_wait + kRenewalMargin,
+      [handler = std::move(aHandler)](CallOutcome aOutcome) {
+        RenewalAnswer answer;
+        answer.m_outcome = OutcomeOf(aOutcome);
+        answer.m_error = ErrorOf(aOutcome);
+        if (answer.m_outcome == OrderOutcome::Applied) {
+          auto report = DecodeRunnerReport(aOutcome.m_reply.m_body);
+          if (report) {
+            answer.m_report = std::move(report.value());
+          } else {
+            answer.m_outcome = OrderOutcome::Unknown;
+            answer.m_error = report.error().m_message;
+          }
+        }
+        handler(std::move(answer));
+      },
+      kUrgent);
 }
 
 }  // namespace bronze
--- a/src/platform/runner_client.h
+++ b/src/platform/runner_client.h
@@ -37,8 +37,11 @@
  public:
   explicit RunnerClient(boost::asio::io_context& aContext);
 
+  /** @param aMayBegin asked right before the order is sent, as it may wait for
+   *  a connection; if it returns false, the outcome is NotSent. */
   void Start(const RunnerTarget& aTarget, const sched::StartOrder& aOrder,
              const std::string& aPayload, sched::RunnerMillis aDeadline,
+             std::function<bool()> aMayBegin,
              std::function<void(OrderAnswer)> aHandler);
   void Stop(const RunnerTarget& aTarget, const sched::StopOrder& aOrder,
             std::function<void(OrderAnswer)> aHandler);
@@ -47,9 +50,13 @@
   void RenewLease(const sched::RenewalOrder& aOrder,
                   std::function<void(RenewalAnswer)> aHandler);
 
+  /** @return the number of connections to runners that were opened. */
+  [[nodiscard]] uint64_t Connections() const { return m_client.Connections(); }
+
  private:
   void Post(const RunnerTarget& aTarget, std::string aPath, std::string aBody,
-            Duration aTimeout, std::function<void(CallOutcome)> aHandler);
+            Duration aTimeout, std::function<void(CallOutcome)> aHandler,
+            CallOptions aOptions);
 
   HttpClient m_client;
 };
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 
 #include <boost/beast/core/detail/base64.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 
 #include "platform/json_reader.h"
 
@@ -43,6 +45,12 @@
   return bytes;
 }
 
+/** Keys of rows that other programs write may contain any byte. */
+std::string QueryText(std::string_view aText) {
+  return boost::urls::encode({aText.data(), aText.size()},
+                             boost::urls::unreserved_chars);
+}
+
 json::object KeyJson(const RowKey& aKey) {
   return {{"table", aKey.m_table}, {"part", aKey.m_part}, {"key", aKey.m_key}};
 }
@@ -209,9 +217,9 @@
 void StoreClient::Read(const std::string& aTable, const std::string& aPart,
                        const std::string& aFrom, Duration aTimeout,
                        std::function<void(RowsResult)> aHandler) {
-  std::string target =
-      fmt::format("/bronzeworks/rows-get?table={}&part={}", aTable, aPart);
-  if (!aFrom.empty()) target += "&from=" + aFrom;
+  std::string target = fmt::format("/bronzeworks/rows-get?table={}&part={}",
+                                   QueryText(aTable), QueryText(aPart));
+  if (!aFrom.empty()) target += "&from=" + QueryText(aFrom);
   ReadRows(std::move(target), aTimeout, std::move(aHandler));
 }
 
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -5,6 +5,7 @@
 #ifndef BRONZE_PLATFORM_STORE_CLIENT_H_
 #define BRONZE_PLATFORM_STORE_CLIENT_H_
 
+#include <atomic>
 #include <functional>
 #include <optional>
 #include <string>
@@ -16,6 +17,12 @@
 
 namespace bronze {
 
+/** @return the lowest key after aKey, to continue a truncated read. */
+[[nodiscard]] inline std::string KeyAfter(std::string aKey) {
+  aKey.push_back('\0');
+  return aKey;
+}
+
 /** Outcome of a call to the store. */
 enum class StoreOutcome : uint8_t {
   Done,
@@ -75,7 +82,8 @@
   void Transact(const StoreTransaction& aTransaction, Duration aTimeout,
                 std::function<void(TransactionResult)> aHandler);
 
-  /** Reads the rows of one part with keys >= aFrom; all if aFrom is empty. */
+  /** Reads the rows of one part with keys >= aFrom; all if aFrom is empty. Keys
+   *  may contain any byte. */
   void Read(const std::string& aTable, const std::string& aPart,
             const std::string& aFrom, Duration aTimeout,
             std::function<void(RowsResult)> aHandler);
@@ -119,8 +127,9 @@
   HttpClient m_client;
   std::function<TimePoint()> m_clock;
   std::optional<ClockReading> m_reading;  ///< From a recent answer.
-  uint64_t m_calls = 0;
-  uint64_t m_failures = 0;
+  // Read by the thread that serves metrics.
+  std::atomic<uint64_t> m_calls = 0;
+  std::atomic<uint64_t> m_failures = 0;
 };
 
 /** The operators' tables; m_part of their rows is empty. */
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -12,6 +12,7 @@
 #include <cctype>
 #include <charconv>
 
+#include "net/address_func.h"
 #include "platform/json_reader.h"
 
 namespace bronze {
@@ -197,6 +198,10 @@
   entry.m_id = RunnerId(aId);
   entry.m_service = sched::ServiceId(reader.Text("service"));
   entry.m_address = reader.Text("address");
+  const auto address = ParseAddress(entry.m_address);
+  if (!address || address.value().port() == 0) {
+    reader.Fail("address is not an IP:PORT address");
+  }
   entry.m_dataCentre = DataCentreId(reader.Text("zone"));
   const std::string state = reader.Text("state");
   if (state != "ready" && state != "draining") reader.Fail("unknown state");
@@ -225,14 +230,19 @@
 
 namespace {
 
-/** @return the number at aAt; aDefault if there is none. */
-int64_t RowInteger(const json::array& aRow, size_t aAt, int64_t aDefault) {
-  if (aAt >= aRow.size()) return aDefault;
+/** @return the number at aAt; 0 if there is none or if it is not between 0 and
+ *          kMaxExact. A conversion of a larger one would be undefined. */
+int64_t RowInteger(const json::array& aRow, size_t aAt) {
+  if (aAt >= aRow.size()) return 0;
   json::error_code error;
   const auto number = aRow[aAt].to_number<double>(error);
-  return error ? aDefault : static_cast<int64_t>(number);
+  const bool valid =
+      !error && number >= 0.0 && number <= static_cast<double>(kMaxExact);
+  return valid ? static_cast<int64_t>(number) : 0;
 }
 
+constexpr int64_t kMaxPercent = 100;
+
 std::string RowText(const json::array& aRow, size_t aAt) {
   if (aAt >= aRow.size() || !aRow[aAt].is_string()) return {};
   const json::string& text = aRow[aAt].get_string();
@@ -249,11 +259,11 @@
   if (!task) return task.error();
   sched::RunningRow running;
   running.m_task = task.value();
-  running.m_run =
-      sched::RunNumber(static_cast<uint64_t>(RowInteger(row, 1, 0)));
+  running.m_run = sched::RunNumber(static_cast<uint64_t>(RowInteger(row, 1)));
   running.m_checkpoint = RowText(row, 2);
-  running.m_percent = static_cast<int>(RowInteger(row, 3, 0));
-  running.m_measure = RowInteger(row, 4, 0);
+  running.m_percent =
+      static_cast<int>(std::min(RowInteger(row, 3), kMaxPercent));
+  running.m_measure = RowInteger(row, 4);
   return running;
 }
 
@@ -274,9 +284,9 @@
     return MakeError(ErrorKind::PeerMalformed, "unknown end kind " + kind);
   }
   sched::EndRow end;
-  end.m_number = sched::EndNumber(static_cast<uint64_t>(RowInteger(row, 0, 0)));
+  end.m_number = sched::EndNumber(static_cast<uint64_t>(RowInteger(row, 0)));
   end.m_task = task.value();
-  end.m_run = sched::RunNumber(static_cast<uint64_t>(RowInteger(row, 2, 0)));
+  end.m_run = sched::RunNumber(static_cast<uint64_t>(RowInteger(row, 2)));
   end.m_kind = static_cast<EndKind>(found - kEndNames.begin());
   end.m_checkpoint = RowText(row, 4);
   return end;
@@ -330,6 +340,9 @@
 
 Result<sched::TaskKey> DecodeTaskName(std::string_view aName) {
   const size_t dot = aName.find('.');
+  if (dot == std::string_view::npos) {
+    return MakeError(ErrorKind::PeerMalformed, "malformed task name");
+  }
   const auto job = DecodeJobId(aName.substr(0, dot));
   if (!job) return MakeError(ErrorKind::PeerMalformed, "malformed task name");
   sched::TaskKey key;
--- /dev/null
+++ b/src/scheduler/cell_directory.h
@@ -0,0 +1,80 @@
+/**
+ * @file cell_directory.h Who owns which cell, as read from the heartbeats of
+ * all owners.
+ *
+ * All heartbeats are read in one call at a fixed interval. A VM with much less
+ * CPU than the owners reads less often, as others claim a cell first; it reads
+ * at once after a call to an owner has failed.
+ */
+
+#ifndef BRONZE_SCHEDULER_CELL_DIRECTORY_H_
+#define BRONZE_SCHEDULER_CELL_DIRECTORY_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "codec/job_cbor.h"
+#include "platform/store_client.h"
+#include "scheduler/event_log.h"
+
+namespace bronze {
+
+/** What is known of the owner of one cell. */
+struct CellView {
+  std::optional<HeartbeatRow> m_heartbeat;  ///< Not set: none was read.
+  RowVersion m_version;                     ///< 0: the row does not exist.
+  TimePoint m_changedAt;  ///< m_version is known unchanged since then.
+};
+
+class CellDirectory {
+ public:
+  /** @param aOnRead called after each successful read. */
+  CellDirectory(boost::asio::io_context& aContext, StoreClient& aStore,
+                EventLog& aLog, double aCpuShare,
+                std::function<void()> aOnRead);
+
+  void Start(uint32_t aCells);
+
+  /** Tells whether this VM owns a cell; an owner needs recent loads. */
+  void SetOwnsCell(bool aOwnsCell) { m_ownsCell = aOwnsCell; }
+
+  /** Reads again soon, because a call to an owner has failed. */
+  void Refresh();
+
+  [[nodiscard]] const CellView& Of(CellId aCell) const {
+    return m_views[aCell.Value()];
+  }
+
+  /** @return the address of the cell's owner, if there is one that may be
+   *          alive. */
+  [[nodiscard]] std::optional<std::string> AddressOf(CellId aCell) const;
+
+  /** @return the published loads, by cell; zero for one without a live owner.
+   */
+  [[nodiscard]] std::vector<sched::CellLoad> Loads() const;
+
+ private:
+  void Read();
+  void OnRead(const RowsResult& aResult);
+  void UpdateView(CellView& aView, const StoreRow& aRow);
+  [[nodiscard]] Duration Interval() const;
+  void ReadLater(Duration aPause);
+
+  StoreClient& m_store;
+  EventLog& m_log;
+  double m_cpuShare;
+  std::function<void()> m_onRead;
+  boost::asio::steady_timer m_timer;
+  std::vector<CellView> m_views;  ///< By cell.
+  bool m_ownsCell = false;
+  bool m_reading = false;
+  bool m_everRead = false;
+  TimePoint m_readAt;  ///< Of the last successful read.
+};
+
+}  // namespace bronze
+
+#endif  // BRONZE_SCHEDULER_CELL_DIRECTORY_H_
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -6,6 +6,8 @@
  * Everything runs on the control thread. Each transaction expects the owner row
  * in the version that the previous one wrote. Once another daemon has claimed
  * the cell by rewriting that row, all later transactions of this owner fail.
+ * Starts are sent only with authority, which each acknowledged heartbeat gives
+ * for a time (owner_timing.h).
  */
 
 #ifndef BRONZE_SCHEDULER_CELL_OWNER_H_
@@ -15,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "codec/job_cbor.h"
 #include "codec/peer_call_cbor.h"
@@ -32,8 +35,12 @@
 /** Tables and keys of the scheduler's rows in the store. */
 inline constexpr char kOwnerTable[] = "cell";
 inline constexpr char kOwnerKey[] = "owner";
+inline constexpr char kLayoutPart[] = "layout";
+inline constexpr char kLayoutKey[] = "cells";
+inline constexpr char kHeartbeatTable[] = "beat";
 inline constexpr char kJobTable[] = "job";
 inline constexpr char kStateTable[] = "state";
+inline constexpr char kRouteTable[] = "route";
 inline constexpr char kInterferenceTable[] = "harm";
 inline constexpr char kInterferenceKey[] = "images";
 
@@ -41,23 +48,50 @@
 [[nodiscard]] std::string PartOf(CellId aCell);
 
 using AnswerHandler = std::function<void(PeerAnswer)>;
+/** Sends a call to the owner of its cell. */
+using PeerCaller = std::function<void(PeerCall, AnswerHandler)>;
+
+/** What an owner uses to reach other processes. */
+struct OwnerLinks {
+  StoreClient& m_store;
+  RunnerClient& m_runners;
+  AdviceClient& m_advisor;
+  PeerCaller m_callPeer;
+};
+
+struct OwnerSettings {
+  sched::CellSettings m_cell;
+  /** Starts are sent only if the list of runners is no older than this, as a
+   *  runner may have said that it leaves. */
+  Duration m_maxListingAge = milliseconds(1200);
+};
+
+/** One ownership of a cell, as claimed. */
+struct OwnerTerm {
+  CellId m_cell;
+  sched::CellLayout m_layout;
+  OwnerRow m_row;
+  RowVersion m_version;           ///< Of m_row in the store.
+  RowVersion m_heartbeatVersion;  ///< Of the heartbeat row, as last read.
+};
 
 class CellOwner : public std::enable_shared_from_this<CellOwner> {
  public:
-  CellOwner(boost::asio::io_context& aContext, StoreClient& aStore,
-            RunnerClient& aRunners, AdviceClient& aAdvisor, EventLog& aLog,
-            CellId aCell, OwnerRow aOwnerRow, RowVersion aOwnerVersion,
-            const sched::CellSettings& aSettings,
+  CellOwner(boost::asio::io_context& aContext, OwnerLinks aLinks,
+            EventLog& aLog, OwnerTerm aTerm, const OwnerSettings& aSettings,
             std::function<void()> aOnLost);
 
   /** Loads the stored state, then starts to schedule. */
   void Start();
 
-  void SetSettings(const sched::CellSettings& aSettings);
+  void SetSettings(const OwnerSettings& aSettings);
 
   /** Applies the configuration in force. */
   void SetConfig(const sched::LiveConfig& aConfig);
 
+  /** Sets the published loads of all cells, by cell. */
+  void SetLoads(std::vector<sched::CellLoad> aLoads);
+
   /** Answers the call at once, or when the change it made is stored. */
   void Handle(PeerCall aCall, AnswerHandler aHandler);
 
@@ -69,32 +103,49 @@
   void Abandon();
 
   [[nodiscard]] const sched::Cell& State() const { return m_cell; }
+  [[nodiscard]] CellId Cell() const { return m_cellId; }
   [[nodiscard]] const LatencyHistogram& CommitTimes() const {
     return m_commitTimes;
   }
+  /** @return how late the last ticks of the control loop were. */
+  [[nodiscard]] Duration LoopLag() const { return m_loopLag; }
   [[nodiscard]] bool IsScheduling() const { return m_loaded && !m_ended; }
 
  private:
-  /** A call to answer once a version of its job is stored. */
+  /** A call to answer once a version of its job, or its route, is stored. */
   struct Waiter {
+    bool m_forRoute = false;
     uint64_t m_version = 0;
     TimePoint m_deadline;
     AnswerHandler m_handler;
   };
+  using RowsHandler = void (CellOwner::*)(RowsResult);
 
+  // cell_owner_load.cpp
   void LoadInterference();
-  void OnInterference(const RowsResult& aResult);
-  void LoadStates(std::string aFrom);
+  void LoadTable(const char* aTable, const std::string& aFrom,
+                 RowsHandler aHandler);
+  void OnRoutes(RowsResult aResult);
   void OnStates(RowsResult aResult);
-  void LoadJobs(std::string aFrom);
   void OnJobs(RowsResult aResult);
   void RestoreUnresponsive();
   void BeginScheduling();
   void OnRunnerRow(const StoreRow& aRow);
+  void OnRunnerRemoved(const std::string& aKey);
 
+  // cell_owner.cpp
   void RequestPass();
   void RunPass();
   void Tick();
+  void MeasureLag(TimePoint aNow);
+  void ExchangeInterference(TimePoint aNow);
+  void CheckOldRoute(TimePoint aNow);
+  [[nodiscard]] bool HasAuthority(TimePoint aNow) const;
+  /** Whether the list of runners is recent enough to start tasks on them. */
+  [[nodiscard]] bool IsListingCurrent(TimePoint aNow) const;
+  [[nodiscard]] bool MayStart(TimePoint aNow) const;
+
+  // cell_owner_orders.cpp
   void SendOrders();
   void SendOrder(const sched::StartOrder& aOrder);
   void SendOrder(const sched::StopOrder& aOrder);
@@ -103,34 +154,62 @@
   void SendOrder(const sched::Decision& aDecision);
   void SendRenewals();
   [[nodiscard]] RunnerTarget TargetOf(sched::RunnerIndex aRunner) const;
-  [[nodiscard]] bool HasAuthority(TimePoint aNow) const;
   /** Gives up the cell if the runner refused the order because it has seen a
    *  higher fencing token. @return whether it did. */
   bool StepDownIfFenced(const RunnerTarget& aTarget, sched::RunnerIndex aRunner,
                         sched::OrderOutcome aOutcome);
 
+  // cell_owner_calls.cpp
+  /** Handles calls about jobs that another cell schedules. @return whether it
+   *  did. */
+  bool HandleRouted(const PeerCall& aCall, AnswerHandler& aHandler);
+  /** @return why a new job cannot be accepted in time, if so. */
+  [[nodiscard]] std::optional<Error> RefuseNewJob(const PeerCall& aCall,
+                                                  TimePoint aNow) const;
+  void Submit(PeerCall aCall, AnswerHandler aHandler);
+  /** Takes over a job from another cell. */
+  void Adopt(PeerCall aCall, AnswerHandler aHandler);
+  /** Sends the jobs that move to the owners of their new cells. */
+  void SendMoves(TimePoint aNow);
+  void WaitFor(const sched::DurableVersion& aWhen, const PeerCall& aCall,
+               AnswerHandler aHandler);
+  void WaitForRoute(const PeerCall& aCall, AnswerHandler aHandler);
+  /** @return whether the waiter's change is durable; then sets aAnswer. */
+  [[nodiscard]] bool IsAnswered(JobId aJob, const Waiter& aWaiter,
+                                PeerAnswer& aAnswer) const;
+  void AnswerWaiters();
+  void FailWaiters(const Error& aError, bool aOnlyExpired);
+  /** Withdraws new jobs that were never sent to the store, and tells their
+   *  callers that these jobs will not run. */
+  void RefuseUnstored(bool aCommitUnderWay);
+
+  // cell_owner_commit.cpp
   void StartCommit();
   /** @return the unresponsive runners of m_commit, with their lease ends on the
    *          store's clock. */
   [[nodiscard]] std::vector<UnresponsiveRunnerRow> UnresponsiveRows() const;
+  void AddCommitRows();
   void SendCommit();
   void OnCommitted(TransactionResult aResult);
   void FinishCommit(RowVersion aVersion);
-  void AnswerWaiters();
-  void FailWaiters(const Error& aError, bool aOnlyExpired);
-  /** Withdraws new jobs that were never sent to the store, and tells their
-   *  callers that these jobs will not run. */
-  void RefuseUnstored(bool aCommitUnderWay);
-  void WaitFor(const sched::DurableVersion& aWhen, const PeerCall& aCall,
-               AnswerHandler aHandler);
   void LoseCell(std::string_view aReason);
 
+  // cell_owner_heartbeat.cpp
+  void SendHeartbeat(TimePoint aNow);
+  void OnHeartbeat(TimePoint aSentAt, const TransactionResult& aResult);
+  /** Another try was stored, or an earlier owner's late one. @return whether
+   *  this owner may go on from the row. */
+  bool AdoptHeartbeat(const TransactionResult& aResult);
+  /** Tells the other daemons that the cell has no owner, then calls aDone. */
+  void SendLastHeartbeat(int aTriesLeft, std::function<void()> aDone);
+
+  OwnerLinks m_links;
   StoreClient& m_store;
-  RunnerClient& m_runners;
-  AdviceClient& m_advisor;
   EventLog& m_log;
   CellId m_cellId;
+  sched::CellLayout m_layout;
   std::string m_part;
+  std::string m_vm;           ///< Name of this VM.
   OwnerRow m_ownerRow;        ///< Owner row as last written.
   RowVersion m_ownerVersion;  ///< Version of m_ownerRow in the store.
   std::function<void()> m_onLost;
@@ -138,6 +217,9 @@
   boost::asio::steady_timer m_tickTimer;
   boost::asio::steady_timer m_commitTimer;
   std::shared_ptr<TableWatch> m_runnerWatch;
+  /** Runners of other cells; their entries need no decoding. */
+  std::set<std::string> m_otherRunners;
+  Duration m_maxListingAge{};
 
   sched::Cell m_cell;
   std::map<JobId, sched::StoredState> m_loadedStates;  ///< While loading.
@@ -145,6 +227,9 @@
   bool m_loaded = false;
   bool m_ended = false;
   bool m_passRequested = false;
+  TimePoint m_tickDueAt;
+  Duration m_loopLag{};  ///< Decaying maximum of the delay of ticks.
+  bool m_lagLogged = false;
 
   sched::Commit m_commit;          ///< Changes in m_transaction.
   StoreTransaction m_transaction;  ///< Of m_commit; repeated until settled.
@@ -156,10 +241,27 @@
   TimePoint m_commitBegunAt;
   TimePoint m_commitSentAt;
   TimePoint m_lastCommitSentAt;    ///< Of the last acknowledged commit.
+  Duration m_meanCommitTime{};     ///< Moving average of m_commitTimes.
   LatencyHistogram m_commitTimes;  ///< First try to acknowledgement.
+
+  uint64_t m_heartbeatSequence = 0;
+  RowVersion m_heartbeatVersion;  ///< Of the heartbeat row, as last known.
+  bool m_heartbeatPending = false;
+  TimePoint m_nextHeartbeatAt;
+  /** When the last acknowledged heartbeat was sent; zero: none was. */
+  TimePoint m_authorityFrom;
   bool m_authorityLapsed = false;  ///< The loss of authority was logged.
+
+  std::vector<sched::CellLoad> m_loads;  ///< By cell.
+  TimePoint m_nextExchangeAt;
+  uint32_t m_exchangeCell = 0;  ///< Cell whose interference is read next.
+  std::map<CellId, sched::StoredInterference> m_sharedInterference;
+  TimePoint m_nextRouteCheckAt;
+
   std::multimap<JobId, Waiter> m_waiters;
   std::function<void()> m_onReleased;  ///< Set once Release was called.
+  /** The owner row without an owner is on its way: nothing may start. */
+  bool m_releaseSent = false;
 };
 
 }  // namespace bronze
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -1,5 +1,6 @@
 /**
- * @file cell_owner_commit.cpp Commits of the cell that this daemon owns.
+ * @file cell_owner_commit.cpp Commits of the cell that this daemon owns, and
+ * its release.
  *
  * One transaction is in progress at a time. It is repeated unchanged until its
  * outcome is known. If a repetition fails with a conflict and the owner row has
@@ -16,8 +17,12 @@
 
 namespace {
 
-/** A transaction holds at most 100 rows: two per job, and the owner row. */
-constexpr size_t kMaxJobsPerCommit = 45;
+/** A transaction holds at most 100 entries. Two are for the owner row: its
+ *  expected version and its new value. */
+constexpr size_t kMaxRowsPerCommit = 98;
+constexpr int kLastHeartbeatTries = 3;
+/** Weight of the newest commit in the mean time of commits. */
+constexpr double kCommitTimeWeight = 0.1;
 /** Shorter than for later tries, as the pooled connection that the first try
  *  uses may no longer respond. */
 constexpr Duration kFirstTimeout = milliseconds(900);
@@ -37,40 +42,56 @@
       now - m_lastCommitSentAt < kOwnerHeartbeatInterval) {
     return;
   }
-  m_commit = sched::TakeCommit(m_cell, kMaxJobsPerCommit, now);
-  m_transaction = {};
-  const RowKey ownerKey{kOwnerTable, m_part, kOwnerKey};
-  m_transaction.m_expected.push_back({ownerKey, m_ownerVersion});
+  m_commit = sched::TakeCommit(m_cell, kMaxRowsPerCommit, now);
   ++m_ownerRow.m_sequence;
-  m_ownerRow.m_unresponsive = UnresponsiveRows();
+  // Without the stored state, nothing is known of the runners.
+  if (m_loaded) m_ownerRow.m_unresponsive = UnresponsiveRows();
   // The last commit before a handover clears the owner, so that another daemon
   // can claim the cell without waiting for kOwnerTimeout.
-  if (releasing && !sched::HasCommit(m_cell)) m_ownerRow.m_vm.clear();
-  m_transaction.m_puts.push_back({ownerKey, EncodeOwnerRow(m_ownerRow), {}});
+  if (releasing && !sched::HasCommit(m_cell)) {
+    m_ownerRow.m_vm.clear();
+    m_releaseSent = true;
+  }
+  m_transaction = {};
+  AddCommitRows();
+  m_commitPending = true;
+  m_commitOutcomeUnknown = false;
+  m_commitTries = 0;
+  m_commitBegunAt = now;
+  SendCommit();
+}
+
+void CellOwner::AddCommitRows() {
+  const RowKey ownerKey{kOwnerTable, m_part, kOwnerKey};
+  m_transaction.m_expected.push_back({ownerKey, m_ownerVersion});
+  auto& puts = m_transaction.m_puts;
+  puts.push_back({ownerKey, EncodeOwnerRow(m_ownerRow), {}});
   for (const sched::JobWrite& write : m_commit.m_writes) {
     const std::string key = JobKey(write.m_job);
     if (write.m_spec) {
-      m_transaction.m_puts.push_back(
+      puts.push_back(
           {{kJobTable, m_part, key}, EncodeJobSpec(*write.m_spec), {}});
     }
-    m_transaction.m_puts.push_back(
+    puts.push_back(
         {{kStateTable, m_part, key}, EncodeJobState(write.m_state), {}});
   }
+  for (const sched::StoredRoute& route : m_commit.m_routes) {
+    puts.push_back(
+        {{kRouteTable, m_part, JobKey(route.m_job)}, EncodeRoute(route), {}});
+  }
   if (m_commit.m_interference) {
-    m_transaction.m_puts.push_back(
-        {{kInterferenceTable, m_part, kInterferenceKey},
-         EncodeInterference(*m_commit.m_interference),
-         {}});
+    puts.push_back({{kInterferenceTable, m_part, kInterferenceKey},
+                    EncodeInterference(*m_commit.m_interference),
+                    {}});
   }
+  auto& removes = m_transaction.m_removes;
   for (const JobId job : m_commit.m_removed) {
-    m_transaction.m_removes.push_back({kJobTable, m_part, JobKey(job)});
-    m_transaction.m_removes.push_back({kStateTable, m_part, JobKey(job)});
+    removes.push_back({kJobTable, m_part, JobKey(job)});
+    removes.push_back({kStateTable, m_part, JobKey(job)});
+  }
+  for (const JobId job : m_commit.m_removedRoutes) {
+    removes.push_back({kRouteTable, m_part, JobKey(job)});
   }
-  m_commitPending = true;
-  m_commitOutcomeUnknown = false;
-  m_commitTries = 0;
-  m_commitBegunAt = now;
-  SendCommit();
 }
 
 std::vector<UnresponsiveRunnerRow> CellOwner::UnresponsiveRows() const {
@@ -116,6 +137,9 @@
     // Nothing was stored: the rows go into a later transaction.
     sched::ReturnCommit(m_cell, m_commit);
     m_commitPending = false;
+    // A last commit that was refused is made again.
+    m_ownerRow.m_vm = m_vm;
+    m_releaseSent = false;
     m_commitNotBefore = BootNow() + kRetryPause;
     RefuseUnstored(false);
     return;
@@ -133,105 +157,47 @@
   m_commitPending = false;
   m_ownerVersion = aVersion;
   m_lastCommitSentAt = m_commitSentAt;
-  Record(m_commitTimes, BootNow() - m_commitBegunAt);
-  m_lastCommitTryFailed = false;
-  if (m_authorityLapsed) {
-    m_authorityLapsed = false;
+  const Duration took = BootNow() - m_commitBegunAt;
+  Record(m_commitTimes, took);
+  m_meanCommitTime += Duration(static_cast<int64_t>(
+      static_cast<double>((took - m_meanCommitTime).count()) *
+      kCommitTimeWeight));
+  if (m_lastCommitTryFailed) {
     m_log.Write("[store]", "commits succeed again cell={} tries={}",
                 m_cellId.Value(), m_commitTries);
   }
+  m_lastCommitTryFailed = false;
   m_cell.m_newestFence = FencingToken(aVersion.Value());
   sched::ApplyCommitted(m_cell, m_commit, BootNow());
   AnswerWaiters();
   if (m_ownerRow.m_vm.empty()) {
-    const auto done = std::move(m_onReleased);
+    auto done = std::move(m_onReleased);
     Abandon();
-    done();
+    SendLastHeartbeat(kLastHeartbeatTries, std::move(done));
     return;
   }
   RequestPass();
 }
 
-void CellOwner::WaitFor(const sched::DurableVersion& aWhen,
-                        const PeerCall& aCall, AnswerHandler aHandler) {
-  m_waiters.emplace(
-      aWhen.m_job,
-      Waiter{aWhen.m_version, BootNow() + aCall.m_window, std::move(aHandler)});
-  AnswerWaiters();
-}
-
-void CellOwner::RefuseUnstored(bool aCommitUnderWay) {
-  std::set<JobId> sent;
-  if (aCommitUnderWay) {
-    for (const sched::JobWrite& write : m_commit.m_writes) {
-      sent.insert(write.m_job);
-    }
-  }
-  std::vector<AnswerHandler> refused;
-  for (const JobId job : sched::WithdrawUnstored(m_cell, sent)) {
-    m_log.Write("[cell]",
-                "withdrew job that was not stored job={:016x} by=store",
-                job.Value());
-    const auto [first, last] = m_waiters.equal_range(job);
-    for (auto at = first; at != last; ++at) {
-      refused.push_back(std::move(at->second.m_handler));
-    }
-    m_waiters.erase(first, last);
-  }
-  for (const AnswerHandler& handler : refused) {
-    PeerAnswer answer;
-    answer.m_error =
-        MakeError(ErrorKind::StoreUnavailable, "the store is not available");
-    handler(std::move(answer));
-  }
-}
-
-void CellOwner::AnswerWaiters() {
-  std::vector<AnswerHandler> ready;
-  for (auto at = m_waiters.begin(); at != m_waiters.end();) {
-    const auto job = m_cell.m_jobs.find(at->first);
-    if (job == m_cell.m_jobs.end() || !job->second.m_specStored ||
-        job->second.m_storedVersion < at->second.m_version) {
-      ++at;
-      continue;
-    }
-    ready.push_back(std::move(at->second.m_handler));
-    at = m_waiters.erase(at);
-  }
-  for (const AnswerHandler& handler : ready) handler(PeerAnswer{});
-}
-
-void CellOwner::FailWaiters(const Error& aError, bool aOnlyExpired) {
-  const TimePoint now = BootNow();
-  std::vector<AnswerHandler> failed;
-  for (auto at = m_waiters.begin(); at != m_waiters.end();) {
-    if (aOnlyExpired && now < at->second.m_deadline) {
-      ++at;
-      continue;
-    }
-    failed.push_back(std::move(at->second.m_handler));
-    at = m_waiters.erase(at);
-  }
-  for (const AnswerHandler& handler : failed) {
-    PeerAnswer answer;
-    answer.m_error = aError;
-    handler(std::move(answer));
-  }
-}
-
 void CellOwner::Release(std::function<void()> aDone) {
-  if (m_ended || !m_loaded) {
-    Abandon();
+  if (m_ended) {
     aDone();
     return;
   }
   m_onReleased = std::move(aDone);
-  RequestPass();
+  if (m_loaded) {
+    RequestPass();
+  } else {
+    // Nothing to schedule and no pass yet, but another daemon need not wait.
+    m_commitTimer.cancel();
+    StartCommit();
+  }
 }
 
 void CellOwner::Abandon() {
   if (m_ended) return;
   m_ended = true;
+  m_releaseSent = true;
   m_tickTimer.cancel();
   m_commitTimer.cancel();
   if (m_runnerWatch) m_runnerWatch->Stop();
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -5,16 +5,17 @@
 #include "scheduler/entry_node.h"
 
 #include <unistd.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
 #include "core/error/error_func.h"
 #include "core/metrics/histogram_func.h"
+#include "core/sched/cell_layout_func.h"
 #include "net/address_func.h"
 #include "platform/wire_decode.h"
 #include "scheduler/boot_clock.h"
+#include "scheduler/node_policy.h"
 
 namespace bronze {
 
@@ -22,12 +23,22 @@
 
 constexpr size_t kIdleConnectionsPerPeer = 8;
 constexpr size_t kMaxPeerAnswerBytes = size_t{64} << 10;
-constexpr size_t kCellCount = 1;
-/** Claims of a cell without an owner are spread over this time, by VM name. */
-constexpr int64_t kClaimSpreadMs = 400;
+/** Calls to one peer beyond this wait in turn. */
+constexpr size_t kBusyConnectionsPerPeer = 32;
 /** A call is failed this long before the caller's deadline, so that the error
  *  reaches the caller in time. */
 constexpr Duration kAnswerMargin = milliseconds(150);
+/** Pause before a call goes to another owner than the one that refused it; the
+ *  directory is read again meanwhile. */
+constexpr Duration kRetryPause = milliseconds(130);
+/** Routes that a call follows. A job moves at most four times. */
+constexpr int kMaxHops = 6;
+/** Known routes are forgotten beyond this number; they save one hop each. */
+constexpr size_t kMaxKnownRoutes = 20000;
+/** A count of pending jobs may be this old, of the two seconds that the
+ *  platform allows. */
+constexpr Duration kCountReuse = milliseconds(500);
+constexpr Duration kCountMaxAge = milliseconds(1800);
 /** Sent to refused callers in Retry-After. A takeover of a cell takes a few
  *  seconds; most callers that retry after this time reach the new owner. */
 constexpr Duration kRetryAfter = seconds(1);
@@ -39,25 +50,6 @@
  *  answers calls in progress; then it exits. */
 constexpr double kDrainShareOfGrace = 0.7;
 
-Duration ClaimDelay(const VmId& aVm) {
-  const std::string& name = aVm.Value();
-  return milliseconds(static_cast<int64_t>(
-      XXH3_64bits(name.data(), name.size()) % kClaimSpreadMs));
-}
-
-sched::CellSettings SettingsOf(const NodeConfig& aConfig) {
-  constexpr int64_t kLeasePercent = 75;
-  sched::CellSettings settings;
-  settings.m_leaseCap = aConfig.m_maxLease;
-  settings.m_maxLease = aConfig.m_maxLease;
-  // Shorter than the maximum, so that tasks of a lost runner are restarted
-  // elsewhere sooner, but long enough to outlast a takeover of the cell.
-  settings.m_lease = aConfig.m_maxLease * kLeasePercent / 100;
-  settings.m_spreadFactor = aConfig.m_spreadFactor;
-  settings.m_statusRetention = aConfig.m_statusRetention + seconds(30);
-  return settings;
-}
-
 std::string_view VerbName(CallerVerb aVerb) {
   switch (aVerb) {
     case CallerVerb::Submit:
@@ -74,28 +66,32 @@
 
 }  // namespace
 
-EntryNode::EntryNode(const NodeConfig& aConfig, uint64_t aIncarnation,
-                     SettingsReader aReadSettings)
-    : m_config(aConfig),
+EntryNode::EntryNode(boost::asio::io_context& aTraffic,
+                     const NodeConfig& aConfig, uint64_t aIncarnation,
+                     SettingsReader aReadSettings, EntryOptions aOptions)
+    : m_traffic(aTraffic),
+      m_config(aConfig),
       m_readSettings(std::move(aReadSettings)),
       m_log(STDOUT_FILENO, aConfig.m_vm.Value()),
       m_store(m_context, aConfig.m_storeAddress, BootNow),
       m_runners(m_context),
       m_advisor(m_context, aConfig.m_adviceAddress),
-      m_peers(m_context, kIdleConnectionsPerPeer, kMaxPeerAnswerBytes),
+      m_peers(m_context, kIdleConnectionsPerPeer, kMaxPeerAnswerBytes,
+              kBusyConnectionsPerPeer),
+      m_directory(m_context, m_store, m_log, aConfig.m_cpuShare,
+                  [this] { OnDirectoryRead(); }),
+      m_configStore(aTraffic, aConfig.m_storeAddress, BootNow),
       m_drainTimer(m_context),
       m_housekeepingTimer(m_context),
-      m_liveConfig(std::make_shared<const sched::LiveConfig>()) {
-  const NodeIdentity identity{aConfig.m_vm, aIncarnation,
-                              AddressText(aConfig.m_peerAddress),
-                              ClaimDelay(aConfig.m_vm), aConfig.m_cpuShare};
-  for (uint32_t cell = 0; cell < kCellCount; ++cell) {
-    m_elections.push_back(std::make_shared<OwnerElection>(
-        m_context, m_store, m_runners, m_advisor, m_log, CellId(cell), identity,
-        SettingsOf(aConfig)));
-  }
+      m_liveConfig(std::make_shared<const sched::LiveConfig>()),
+      m_incarnation(aIncarnation) {
+  m_layoutKeeper = std::make_shared<LayoutKeeper>(
+      m_context, m_store, m_log,
+      LayoutPolicyOf(aConfig, aOptions.m_runnersPerCell),
+      [this](sched::CellLayout aLayout) { BeginCells(aLayout); });
   m_operatorWatch = std::make_shared<TableWatch>(
-      m_context, m_store, m_log, kOperatorTable,
+      aTraffic, m_configStore, m_log, kOperatorTable,
+      ConfigWatchTiming(aConfig),
       TableListener{[this](const StoreRow& aRow) { OnConfigRow(aRow); },
                     [](const std::string&) {}});
 }
@@ -103,16 +99,59 @@
 void EntryNode::Run() {
   m_log.Write("[main]", "started incarnation_peer={}",
               AddressText(m_config.m_peerAddress));
-  m_operatorWatch->Start();
-  for (const auto& election : m_elections) election->Start();
+  boost::asio::post(m_traffic, [watch = m_operatorWatch] { watch->Start(); });
+  m_layoutKeeper->Start();
   if (auto text = m_readSettings()) m_settingsText = std::move(text.value());
   Housekeep();
   const auto work = boost::asio::make_work_guard(m_context);
   m_context.run();
+  boost::asio::post(m_traffic, [watch = m_operatorWatch] { watch->Stop(); });
   m_log.Write("[main]", "ended");
   m_log.Flush();
 }
 
+void EntryNode::BeginCells(sched::CellLayout aLayout) {
+  m_layout = aLayout;
+  const NodeIdentity identity{
+      m_config.m_vm, m_incarnation, AddressText(m_config.m_peerAddress),
+      m_config.m_cpuShare, [this] {
+        return static_cast<size_t>(std::count_if(
+            m_elections.begin(), m_elections.end(),
+            [](const auto& aElection) { return aElection->IsClaimed(); }));
+      }};
+  const OwnerLinks links{m_store, m_runners, m_advisor,
+                         [this](PeerCall aCall, AnswerHandler aHandler) {
+                           CallOwner(std::move(aCall), std::move(aHandler));
+                         }};
+  for (uint32_t cell = 0; cell < aLayout.m_cells; ++cell) {
+    m_elections.push_back(std::make_shared<OwnerElection>(
+        m_context, links, m_directory, m_log, CellId(cell), aLayout, identity,
+        OwnerSettingsOf(m_config)));
+    if (m_hasConfig) m_elections.back()->SetConfig(Config());
+    if (m_draining) m_elections.back()->HandOver([] {});
+  }
+  m_ready = m_hasConfig && !m_draining;
+  m_directory.Start(aLayout.m_cells);
+}
+
+void EntryNode::OnDirectoryRead() {
+  const std::vector<sched::CellLoad> loads = m_directory.Loads();
+  bool ownsCell = false;
+  for (const auto& election : m_elections) {
+    if (const auto owner = election->LocalOwner()) {
+      owner->SetLoads(loads);
+      ownsCell = true;
+    }
+    election->OnDirectoryRead();
+  }
+  m_directory.SetOwnsCell(ownsCell);
+}
+
+std::shared_ptr<const sched::LiveConfig> EntryNode::Config() const {
+  const std::lock_guard<std::mutex> lock(m_configMutex);
+  return m_liveConfig;
+}
+
 void EntryNode::OnConfigRow(const StoreRow& aRow) {
   if (aRow.m_key.m_key != kConfigRow) return;
   std::vector<std::string> problems;
@@ -126,7 +165,7 @@
     return;
   }
   // An older version is ignored.
-  if (config.value().m_version <= m_liveConfig->m_version) return;
+  if (config.value().m_version <= Config()->m_version) return;
   m_log.Write("[config]", "configuration in force version={} queues={}",
               config.value().m_version.Value(), config.value().m_queues.size());
   auto shared =
@@ -135,17 +174,18 @@
     const std::lock_guard<std::mutex> lock(m_configMutex);
     m_liveConfig = shared;
   }
-  for (const auto& election : m_elections) election->SetConfig(shared);
-  if (!m_draining) m_ready = true;
+  boost::asio::post(m_context, [this, shared] { ApplyConfig(shared); });
   m_log.Flush();
 }
 
+void EntryNode::ApplyConfig(std::shared_ptr<const sched::LiveConfig> aConfig) {
+  for (const auto& election : m_elections) election->SetConfig(aConfig);
+  m_hasConfig = true;
+  m_ready = m_layout.m_cells > 0 && !m_draining;
+}
+
 void EntryNode::HandleCaller(HttpCall aCall, SharedResponder aResponder) {
-  std::shared_ptr<const sched::LiveConfig> config;
-  {
-    const std::lock_guard<std::mutex> lock(m_configMutex);
-    config = m_liveConfig;
-  }
+  const auto config = Config();
   auto request = DecodeCallerCall(aCall, *config);
   if (!request) {
     aResponder->Reply(RefusalReply(request.error(), kRetryAfter));
@@ -163,12 +203,6 @@
   });
 }
 
-CellId EntryNode::CellOf(JobId aJob) const {
-  const uint64_t value = aJob.Value();
-  return CellId(static_cast<uint32_t>(XXH3_64bits(&value, sizeof value) %
-                                      m_elections.size()));
-}
-
 void EntryNode::Serve(CallerRequest aRequest,
                       const SharedResponder& aResponder) {
   PeerCall call;
@@ -176,7 +210,6 @@
   call.m_queue = aRequest.m_queue;
   call.m_window = std::max(aRequest.m_window - kAnswerMargin, kAnswerMargin);
   call.m_job = aRequest.m_job;
-  call.m_cell = CellOf(aRequest.m_job);
   call.m_spec = std::move(aRequest.m_spec);
   ServeCall(std::move(call),
             [this, request = std::move(aRequest), responder = aResponder,
@@ -186,19 +219,154 @@
 }
 
 void EntryNode::ServeCall(PeerCall aCall, AnswerHandler aHandler) {
-  const auto& election = m_elections[aCall.m_cell.Value()];
-  if (const auto owner = election->LocalOwner()) {
+  if (m_layout.m_cells == 0) {
+    PeerAnswer answer;
+    answer.m_error =
+        MakeError(ErrorKind::NotReady, "the cells are not known yet");
+    aHandler(std::move(answer));
+    return;
+  }
+  if (aCall.m_verb == PeerVerb::CountPending) {
+    CountPending(aCall, aHandler);
+    return;
+  }
+  const auto route = m_knownRoutes.find(aCall.m_job);
+  aCall.m_routed = route != m_knownRoutes.end();
+  aCall.m_cell =
+      aCall.m_routed ? route->second : sched::HomeCell(m_layout, aCall.m_job);
+  FollowRoutes(std::move(aCall), std::move(aHandler), kMaxHops);
+}
+
+void EntryNode::FollowRoutes(PeerCall aCall, AnswerHandler aHandler,
+                             int aHopsLeft) {
+  PeerCall sent = aCall;
+  CallOwner(
+      std::move(sent),
+      [this, call = std::move(aCall), handler = std::move(aHandler),
+       begunAt = BootNow(), aHopsLeft](PeerAnswer aAnswer) mutable {
+        if (!aAnswer.m_routedTo) {
+          handler(std::move(aAnswer));
+          return;
+        }
+        if (aHopsLeft == 0 || aAnswer.m_routedTo->Value() >= m_layout.m_cells) {
+          aAnswer.m_error =
+              MakeError(ErrorKind::NotReady, "the job is being moved");
+          handler(std::move(aAnswer));
+          return;
+        }
+        if (m_knownRoutes.size() >= kMaxKnownRoutes) m_knownRoutes.clear();
+        m_knownRoutes[call.m_job] = *aAnswer.m_routedTo;
+        call.m_cell = *aAnswer.m_routedTo;
+        call.m_routed = true;
+        call.m_window = std::max(call.m_window - (BootNow() - begunAt),
+                                 Duration(kAnswerMargin));
+        FollowRoutes(std::move(call), std::move(handler), aHopsLeft - 1);
+      });
+}
+
+void EntryNode::CallOwner(PeerCall aCall, AnswerHandler aHandler) {
+  const CellId cell = aCall.m_cell;
+  if (const auto owner = m_elections[cell.Value()]->LocalOwner()) {
     owner->Handle(std::move(aCall), std::move(aHandler));
     return;
   }
-  if (const auto address = election->RemoteOwner()) {
-    Forward(*address, std::move(aCall), std::move(aHandler));
+  const auto address = m_directory.AddressOf(cell);
+  if (!address || *address == AddressText(m_config.m_peerAddress)) {
+    m_directory.Refresh();
+    PeerAnswer answer;
+    answer.m_error =
+        MakeError(ErrorKind::NotReady, "no owner of the cell is known");
+    aHandler(std::move(answer));
     return;
   }
-  PeerAnswer answer;
-  answer.m_error =
-      MakeError(ErrorKind::NotReady, "no owner of the cell is known");
-  aHandler(std::move(answer));
+  PeerCall sent = aCall;
+  Forward(*address, std::move(sent),
+          [this, call = std::move(aCall), handler = std::move(aHandler),
+           address = *address](PeerAnswer aAnswer) mutable {
+            const bool notDone =
+                aAnswer.m_error &&
+                (aAnswer.m_error->m_kind == ErrorKind::NotOwner ||
+                 aAnswer.m_error->m_kind == ErrorKind::NotReady);
+            if (!notDone) {
+              handler(std::move(aAnswer));
+              return;
+            }
+            RetryAtNewOwner(std::move(call), address, std::move(aAnswer),
+                            std::move(handler));
+          });
+}
+
+void EntryNode::RetryAtNewOwner(PeerCall aCall, const std::string& aRefusedBy,
+                                PeerAnswer aRefusal, AnswerHandler aHandler) {
+  m_directory.Refresh();
+  auto timer = std::make_shared<boost::asio::steady_timer>(m_context);
+  timer->expires_after(kRetryPause);
+  timer->async_wait(
+      [this, timer, call = std::move(aCall), refusedBy = aRefusedBy,
+       refusal = std::move(aRefusal),
+       handler = std::move(aHandler)](boost::system::error_code) mutable {
+        if (const auto owner = m_elections[call.m_cell.Value()]->LocalOwner()) {
+          owner->Handle(std::move(call), std::move(handler));
+          return;
+        }
+        const auto address = m_directory.AddressOf(call.m_cell);
+        if (!address || *address == refusedBy) {
+          handler(std::move(refusal));
+          return;
+        }
+        Forward(*address, std::move(call), std::move(handler));
+      });
+}
+
+namespace {
+
+/** Answers of the cells to one request for a count. */
+struct CountGathering {
+  size_t m_left = 0;
+  uint64_t m_sum = 0;
+  std::optional<Error> m_error;
+};
+
+}  // namespace
+
+void EntryNode::CountPending(const PeerCall& aCall,
+                             const AnswerHandler& aHandler) {
+  const auto gathering = std::make_shared<CountGathering>();
+  gathering->m_left = m_layout.m_cells;
+  const auto add = [gathering, aHandler](uint64_t aCount,
+                                         std::optional<Error> aError) {
+    gathering->m_sum += aCount;
+    if (aError) gathering->m_error = std::move(aError);
+    if (--gathering->m_left > 0) return;
+    PeerAnswer answer;
+    answer.m_count = gathering->m_sum;
+    answer.m_error = gathering->m_error;
+    aHandler(std::move(answer));
+  };
+  const TimePoint now = BootNow();
+  for (uint32_t cell = 0; cell < m_layout.m_cells; ++cell) {
+    const auto key = std::pair(aCall.m_queue, CellId(cell));
+    const auto known = m_counts.find(key);
+    if (known != m_counts.end() && now - known->second.m_at < kCountReuse) {
+      add(known->second.m_count, {});
+      continue;
+    }
+    PeerCall call = aCall;
+    call.m_cell = CellId(cell);
+    CallOwner(
+        std::move(call), [this, key, add, now](const PeerAnswer& aAnswer) {
+          if (!aAnswer.m_error) {
+            m_counts[key] = {aAnswer.m_count, now};
+            add(aAnswer.m_count, {});
+            return;
+          }
+          const auto last = m_counts.find(key);
+          const bool recent = last != m_counts.end() &&
+                              BootNow() - last->second.m_at < kCountMaxAge;
+          add(recent ? last->second.m_count : 0,
+              recent ? std::optional<Error>() : aAnswer.m_error);
+        });
+  }
 }
 
 void EntryNode::Forward(const std::string& aAddress, PeerCall aCall,
@@ -275,8 +443,7 @@
 
 void EntryNode::HandlePeer(HttpCall aCall, SharedResponder aResponder) {
   auto call = DecodePeerCall(aCall.m_body);
-  if (!call || aCall.m_target != kPeerPath ||
-      call.value().m_cell.Value() >= m_elections.size()) {
+  if (!call || aCall.m_target != kPeerPath) {
     aResponder->Reply(
         RefusalReply(MakeError(ErrorKind::BadRequest, "not a valid peer call"),
                      kRetryAfter));
@@ -290,7 +457,9 @@
       reply.m_body = EncodePeerAnswer(aAnswer);
       responder->Reply(std::move(reply));
     };
-    const auto owner = m_elections[call.m_cell.Value()]->LocalOwner();
+    const uint32_t cell = call.m_cell.Value();
+    const auto owner =
+        cell < m_elections.size() ? m_elections[cell]->LocalOwner() : nullptr;
     if (!owner) {
       PeerAnswer answer;
       answer.m_error =
@@ -318,66 +487,6 @@
   });
 }
 
-namespace {
-
-void AppendCount(std::string& aText, std::string_view aName, uint64_t aCount) {
-  aText += fmt::format("bronze_{} {}\n", aName, aCount);
-}
-
-void AppendCell(std::string& aText, const sched::Cell& aCell) {
-  constexpr std::string_view kEndKinds[] = {"done",   "failed", "stopped",
-                                            "lapsed", "broken", "alone"};
-  const sched::CellCounts& counts = aCell.m_counts;
-  AppendCount(aText, "jobs_accepted_total", counts.m_accepted);
-  AppendCount(aText, "jobs_completed_total", counts.m_completed);
-  AppendCount(aText, "jobs_failed_total", counts.m_failed);
-  AppendCount(aText, "jobs_cancelled_total", counts.m_cancelled);
-  AppendCount(aText, "task_starts_total", counts.m_starts);
-  AppendCount(aText, "task_stops_total", counts.m_stops);
-  AppendCount(aText, "task_paces_total", counts.m_paces);
-  AppendCount(aText, "starts_refused_total", counts.m_rejectedStarts);
-  AppendCount(aText, "runners_lapsed_total", counts.m_lapsedRunners);
-  AppendCount(aText, "tasks_stalled_total", counts.m_stalledTasks);
-  AppendCount(aText, "quarantines_total", counts.m_quarantines);
-  AppendCount(aText, "preemptions_total", counts.m_preemptions);
-  AppendCount(aText, "advice_calls_total", counts.m_adviceAsked);
-  AppendCount(aText, "advice_failures_total", counts.m_adviceFailed);
-  AppendCount(aText, "queued_steps", aCell.m_queue.size());
-  for (size_t kind = 0; kind < std::size(kEndKinds); ++kind) {
-    AppendCount(aText,
-                fmt::format("task_ends_total{{kind=\"{}\"}}", kEndKinds[kind]),
-                counts.m_endsByKind[kind]);
-  }
-}
-
-}  // namespace
-
-std::string EntryNode::Metrics() const {
-  std::string text;
-  for (const auto& [name, count] : m_answers) {
-    AppendCount(text,
-                fmt::format("caller_answers_total{{result=\"{}\"}}", name),
-                count);
-  }
-  for (const auto& [result, count] : m_reloads) {
-    AppendCount(text,
-                fmt::format("settings_reloads_total{{result=\"{}\"}}", result),
-                count);
-  }
-  AppendCount(text, "store_calls_total", m_store.Calls());
-  AppendCount(text, "store_failures_total", m_store.Failures());
-  AppendCount(text, "log_dropped_total", m_log.Dropped());
-  AppendCount(text, "config_version", m_liveConfig->m_version.Value());
-  AppendPrometheus(m_answerTimes, "bronze_caller_answer_seconds", "", text);
-  for (const auto& election : m_elections) {
-    const auto owner = election->LocalOwner();
-    if (!owner) continue;
-    AppendCell(text, owner->State());
-    AppendPrometheus(owner->CommitTimes(), "bronze_commit_seconds", "", text);
-  }
-  return text;
-}
-
 void EntryNode::PostDrain() {
   boost::asio::post(m_context, [this] { Drain(); });
 }
@@ -433,7 +542,7 @@
   const bool whole = applied == aConfig;
   m_config = applied;
   for (const auto& election : m_elections)
-    election->SetSettings(SettingsOf(m_config));
+    election->SetSettings(OwnerSettingsOf(m_config));
   ++m_reloads["applied"];
   m_log.Write(
       "[main]", "settings reload applied max_lease_ms={} spread={} restart={}",
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -9,14 +9,18 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <unordered_map>
 #include <vector>
 
 #include "core/metrics/histogram_type.h"
 #include "net/http_server.h"
 #include "platform/caller_wire.h"
 #include "platform/node_config.h"
+#include "scheduler/cell_directory.h"
+#include "scheduler/layout_keeper.h"
 #include "scheduler/owner_election.h"
 
 namespace bronze {
@@ -24,10 +28,18 @@
 /** Returns the text of the settings file. */
 using SettingsReader = std::function<Result<std::string>()>;
 
+struct EntryOptions {
+  /** Runners that one cell should have; 0: by the VM's link. */
+  size_t m_runnersPerCell = 0;
+};
+
 class EntryNode {
  public:
-  EntryNode(const NodeConfig& aConfig, uint64_t aIncarnation,
-            SettingsReader aReadSettings);
+  /** @param aTraffic loop of a traffic thread. The configuration is read there,
+   *  so that it is in force in time even if the control loop is behind. */
+  EntryNode(boost::asio::io_context& aTraffic, const NodeConfig& aConfig,
+            uint64_t aIncarnation, SettingsReader aReadSettings,
+            EntryOptions aOptions = {});
 
   /** Runs the control loop until the drain after SIGTERM is over. */
   void Run();
@@ -48,15 +60,29 @@
  private:
   using SharedResponder = std::shared_ptr<HttpResponder>;
 
+  /** Called on the traffic thread. */
   void OnConfigRow(const StoreRow& aRow);
+  void ApplyConfig(std::shared_ptr<const sched::LiveConfig> aConfig);
+  void BeginCells(sched::CellLayout aLayout);
+  void OnDirectoryRead();
   void Serve(CallerRequest aRequest, const SharedResponder& aResponder);
+  /** Passes the call to the job's cell, along its routes. */
   void ServeCall(PeerCall aCall, AnswerHandler aHandler);
+  void FollowRoutes(PeerCall aCall, AnswerHandler aHandler, int aHopsLeft);
+  /** Passes the call to the owner of its cell. */
+  void CallOwner(PeerCall aCall, AnswerHandler aHandler);
+  /** The owner refused the call and did nothing: calls the new owner, if there
+   *  is one by now. */
+  void RetryAtNewOwner(PeerCall aCall, const std::string& aRefusedBy,
+                       PeerAnswer aRefusal, AnswerHandler aHandler);
+  /** Adds up the counts of all cells. */
+  void CountPending(const PeerCall& aCall, const AnswerHandler& aHandler);
   void Forward(const std::string& aAddress, PeerCall aCall,
                AnswerHandler aHandler);
   void AnswerCaller(const CallerRequest& aRequest, const PeerAnswer& aAnswer,
                     const SharedResponder& aResponder, TimePoint aBegunAt);
-  [[nodiscard]] CellId CellOf(JobId aJob) const;
-  [[nodiscard]] std::string Metrics() const;
+  [[nodiscard]] std::shared_ptr<const sched::LiveConfig> Config() const;
+  [[nodiscard]] std::string Metrics();
   void Drain();
 
   /** Once a second: writes out the log and checks the settings for changes. */
@@ -66,6 +92,7 @@
   void Reload(bool aAsked);
   void ApplySettings(const NodeConfig& aConfig);
 
+  boost::asio::io_context& m_traffic;
   NodeConfig m_config;  ///< In force; an invalid file does not change it.
   SettingsReader m_readSettings;
   std::string m_settingsText;  ///< Settings file as last read.
@@ -75,15 +102,31 @@
   RunnerClient m_runners;
   AdviceClient m_advisor;
   HttpClient m_peers;
+  CellDirectory m_directory;
+  sched::CellLayout m_layout;
+  std::shared_ptr<LayoutKeeper> m_layoutKeeper;
   std::vector<std::shared_ptr<OwnerElection>> m_elections;  ///< By CellId.
+  StoreClient m_configStore;  ///< Used on the traffic thread.
   std::shared_ptr<TableWatch> m_operatorWatch;
   boost::asio::steady_timer m_drainTimer;
   boost::asio::steady_timer m_housekeepingTimer;
 
-  std::mutex m_configMutex;  ///< Guards m_liveConfig, read by traffic threads.
+  /** Cells of jobs that are not scheduled by their home cell. */
+  std::unordered_map<JobId, CellId> m_knownRoutes;
+  struct KnownCount {
+    uint64_t m_count = 0;
+    TimePoint m_at;
+  };
+  /** Pending jobs of a queue in one cell, as last answered. */
+  std::map<std::pair<sched::QueueId, CellId>, KnownCount> m_counts;
+
+  mutable std::mutex
+      m_configMutex;  ///< Guards m_liveConfig, read by traffic threads.
   std::shared_ptr<const sched::LiveConfig> m_liveConfig;
+  bool m_hasConfig = false;  ///< Some configuration is in force.
   std::atomic<bool> m_ready = false;
   bool m_draining = false;
+  uint64_t m_incarnation;
   LatencyHistogram m_answerTimes;  ///< Time to answer callers' requests.
   std::map<std::string, uint64_t> m_answers;  ///< Count by verb and result.
   std::map<std::string, uint64_t> m_reloads;  ///< Count by result.
--- a/src/scheduler/event_log.cpp
+++ b/src/scheduler/event_log.cpp
@@ -31,6 +31,16 @@
     : m_descriptor(aDescriptor), m_vm(std::move(aVm)) {}
 
 void EventLog::WriteLine(std::string_view aPrefix, std::string_view aText) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  AppendLine(aPrefix, aText);
+}
+
+uint64_t EventLog::Dropped() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_dropped;
+}
+
+void EventLog::AppendLine(std::string_view aPrefix, std::string_view aText) {
   const size_t needed = aPrefix.size() + aText.size() + m_vm.size() + 40;
   if (m_buffer.size() + needed > kMaxBufferBytes) {
     ++m_dropped;
@@ -41,10 +51,12 @@
 }
 
 void EventLog::Flush() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
   if (m_dropped > m_reportedDrops && m_buffer.size() < kMaxBufferBytes / 2) {
     const uint64_t lost = m_dropped - m_reportedDrops;
     m_reportedDrops = m_dropped;
-    Write("[log]", "output buffer full, dropped lines={}", lost);
+    AppendLine("[log]",
+               fmt::format("output buffer full, dropped lines={}", lost));
   }
   size_t at = 0;
   while (at < m_buffer.size() && IsWritable(m_descriptor)) {
--- a/src/scheduler/event_log.h
+++ b/src/scheduler/event_log.h
@@ -10,11 +10,13 @@
 
 #include <fmt/format.h>
 
+#include <mutex>
 #include <string>
 #include <string_view>
 
 namespace bronze {
 
+/** May be used on any thread. */
 class EventLog {
  public:
   /** @param aVm name of this VM, added to each line. */
@@ -31,11 +33,15 @@
   /** Writes as much of the buffer as is possible without blocking. */
   void Flush();
 
-  [[nodiscard]] uint64_t Dropped() const { return m_dropped; }
+  [[nodiscard]] uint64_t Dropped();
 
  private:
+  /** @pre m_mutex is held. */
+  void AppendLine(std::string_view aPrefix, std::string_view aText);
+
   int m_descriptor;
   std::string m_vm;
+  std::mutex m_mutex;            ///< Guards all below.
   std::string m_buffer;          ///< Lines to write; at most kMaxBufferBytes.
   uint64_t m_dropped = 0;        ///< Lines dropped since the start.
   uint64_t m_reportedDrops = 0;  ///< m_dropped when last logged.
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <boost/asio/signal_set.hpp>
+#include <charconv>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -21,13 +22,16 @@
     R"(bronze-scheduler: schedules jobs on the platform's runners.
 
 Usage:
-  bronze-scheduler [--settings FILE]
+  bronze-scheduler [--settings FILE] [--runners-per-cell N]
   bronze-scheduler --check [--settings FILE]
   bronze-scheduler --help
 
 Options:
   --settings FILE  Settings of this VM; without it, the file that the
                    environment variable BRONZEWORKS_CONFIG names.
+  --runners-per-cell N  Size of the cells of a deployment that starts for the
+                   first time, 1 to 100000; without it, the size that the VM's
+                   link and share of CPU allow. Later starts keep the cells.
   --check          Check the settings file, report all problems and exit.
   --help           Show this text.
 
@@ -61,11 +65,13 @@
   return limits;
 }
 
-int Serve(const bronze::NodeConfig& aConfig, const std::string& aPath) {
+int Serve(const bronze::NodeConfig& aConfig, const std::string& aPath,
+          const bronze::EntryOptions& aOptions) {
   bronze::Counters counters;
   bronze::ThreadPool threads(kTrafficThreads);
-  bronze::EntryNode node(aConfig, NewIncarnation(),
-                         [aPath] { return bronze::ReadSettingsText(aPath); });
+  bronze::EntryNode node(
+      threads.Context(0), aConfig, NewIncarnation(),
+      [aPath] { return bronze::ReadSettingsText(aPath); }, aOptions);
   bronze::HttpServer callers(
       threads, Limits(), counters,
       [&node](size_t, bronze::HttpCall aCall, auto aResponder) {
@@ -116,6 +122,23 @@
   return path == nullptr ? "" : path;
 }
 
+/** @return the number of runners per cell, 0 if the option is missing. */
+bronze::Result<size_t> RunnersPerCell(const docopt::value& aOption) {
+  constexpr size_t kMax = 100'000;
+  if (!aOption) return size_t{0};
+  const std::string text = aOption.asString();
+  size_t count = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), count);
+  const bool valid = error == std::errc() && end == text.data() + text.size() &&
+                     count >= 1 && count <= kMax;
+  if (valid) return count;
+  return bronze::MakeError(
+      bronze::ErrorKind::Usage,
+      fmt::format("--runners-per-cell must be a number from 1 to {}, not {}",
+                  kMax, text));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -126,6 +149,8 @@
   if (!text) return Fail(text.error());
   const auto config = bronze::DecodeNodeConfig(text.value());
   if (!config) return Fail(config.error());
+  const auto runnersPerCell = RunnersPerCell(args.at("--runners-per-cell"));
+  if (!runnersPerCell) return Fail(runnersPerCell.error());
   if (args.at("--check").asBool()) return 0;
-  return Serve(config.value(), path);
+  return Serve(config.value(), path, {runnersPerCell.value()});
 }
--- a/src/scheduler/owner_election.h
+++ b/src/scheduler/owner_election.h
@@ -1,10 +1,13 @@
 /**
- * @file owner_election.h Tracks which daemon owns one cell, and claims the cell
- * for this daemon when it has no live owner.
+ * @file owner_election.h Claims one cell for this daemon when it has no live
+ * owner.
  *
- * The owner row is read at a fixed interval. The cell is claimed when the row
- * is missing, names no owner, names an earlier process of this VM, or has not
- * changed for kOwnerTimeout while the store could be read.
+ * The heartbeats of all owners are in the directory. If that of the cell is
+ * missing, names no owner or has not changed for kOwnerTimeout, the owner row
+ * is read. The cell is claimed when that row is missing or names no owner,
+ * names an earlier process of this VM, or names the process whose heartbeat
+ * stopped. A row that names a process without a heartbeat must not change for
+ * kOwnerTimeout, either.
  */
 
 #ifndef BRONZE_SCHEDULER_OWNER_ELECTION_H_
@@ -14,6 +17,7 @@
 #include <memory>
 #include <optional>
 
+#include "scheduler/cell_directory.h"
 #include "scheduler/cell_owner.h"
 
 namespace bronze {
@@ -23,21 +27,23 @@
   VmId m_vm;
   uint64_t m_incarnation = 0;  ///< Increases with each process start.
   std::string m_peerAddress;
-  Duration m_claimDelay{};  ///< Differs by VM, so that claims do not collide.
   double m_cpuShare = 1.0;  ///< CPU limit of this process, in cores.
+  /** @return the number of cells that this process owns or claims. */
+  std::function<size_t()> m_claimedCells;
 };
 
 class OwnerElection : public std::enable_shared_from_this<OwnerElection> {
  public:
-  OwnerElection(boost::asio::io_context& aContext, StoreClient& aStore,
-                RunnerClient& aRunners, AdviceClient& aAdvisor, EventLog& aLog,
-                CellId aCell, NodeIdentity aIdentity,
-                const sched::CellSettings& aSettings);
+  OwnerElection(boost::asio::io_context& aContext, OwnerLinks aLinks,
+                CellDirectory& aDirectory, EventLog& aLog, CellId aCell,
+                sched::CellLayout aLayout, NodeIdentity aIdentity,
+                const OwnerSettings& aSettings);
 
-  void Start();
+  /** The directory was read: claims the cell if it has no live owner. */
+  void OnDirectoryRead();
 
   /** Replaces the settings, also those of a running owner. */
-  void SetSettings(const sched::CellSettings& aSettings);
+  void SetSettings(const OwnerSettings& aSettings);
 
   /** Sets the configuration in force; passed on to a running owner. */
   void SetConfig(std::shared_ptr<const sched::LiveConfig> aConfig);
@@ -45,40 +51,49 @@
   /** @return the owner if this daemon schedules the cell, or null. */
   [[nodiscard]] std::shared_ptr<CellOwner> LocalOwner() const;
 
-  /** @return the address of the daemon that owns the cell, if it is another one
-   *          and known. */
-  [[nodiscard]] std::optional<std::string> RemoteOwner() const;
+  /** @return whether this daemon has claimed the cell or is claiming it. */
+  [[nodiscard]] bool IsClaimed() const { return m_owner || m_claiming; }
 
   /** Stops claiming the cell and releases it if this daemon owns it. */
   void HandOver(std::function<void()> aDone);
 
  private:
-  void Poll();
-  void OnPolled(RowsResult aResult);
-  /** @return the wait before a claim. It is longer on a VM with less CPU than
-   *  the last owner, so that a larger VM claims the cell first. */
-  [[nodiscard]] Duration ClaimDelay() const;
+  /** The owner row as read. */
+  struct SeenRow {
+    OwnerRow m_row;
+    RowVersion m_version;  ///< 0: the row does not exist.
+    TimePoint m_since;     ///< m_version is known unchanged since then.
+  };
+
+  [[nodiscard]] bool HasLiveOwner(TimePoint aNow) const;
+  /** @return whether the row names the process of the last heartbeat. */
+  [[nodiscard]] bool NamesHeartbeatOwner(const OwnerRow& aRow) const;
+  void ReadOwnerRow();
+  void OnOwnerRow(const RowsResult& aResult);
+  /** @return the wait before a claim. It differs by VM, and is longer on a VM
+   *  with less CPU than the last owner and on one that owns cells already, so
+   *  that the cells are spread over the largest VMs. */
+  [[nodiscard]] Duration ClaimDelay(const OwnerRow& aLast) const;
   void ConsiderClaim(TimePoint aNow);
   void Claim();
-  void OnClaimed(const OwnerRow& aClaimed, TransactionResult aResult);
+  void OnClaimed(const OwnerRow& aClaimed, const TransactionResult& aResult);
   void BeginOwning(const OwnerRow& aRow, RowVersion aVersion);
-  void PollLater(Duration aPause);
 
   boost::asio::io_context& m_context;
-  StoreClient& m_store;
-  RunnerClient& m_runners;
-  AdviceClient& m_advisor;
+  OwnerLinks m_links;
+  CellDirectory& m_directory;
   EventLog& m_log;
   CellId m_cell;
+  sched::CellLayout m_layout;
   NodeIdentity m_identity;
-  sched::CellSettings m_settings;
+  OwnerSettings m_settings;
   boost::asio::steady_timer m_timer;
 
-  OwnerRow m_row;         ///< Owner row as last read.
-  RowVersion m_version;   ///< Of m_row; 0: the row does not exist.
-  TimePoint m_changedAt;  ///< m_version is known unchanged since then.
-  TimePoint m_polledAt;   ///< Time of the last successful read.
-  bool m_everPolled = false;
+  /** Set while the cell seems to have no live owner. */
+  std::optional<SeenRow> m_seen;
+  TimePoint m_vacantSince;  ///< Since when m_seen names no owner.
+  bool m_busy = false;      ///< A read or a claim has no answer yet.
+  bool m_claiming = false;  ///< A claim has no answer yet.
   bool m_handingOver = false;
   std::shared_ptr<CellOwner> m_owner;
   std::shared_ptr<const sched::LiveConfig> m_config;  ///< Null: none read yet.
--- a/src/scheduler/table_watch.cpp
+++ b/src/scheduler/table_watch.cpp
@@ -4,27 +4,28 @@
 
 #include "scheduler/table_watch.h"
 
+#include "scheduler/boot_clock.h"
+
 namespace bronze {
 
 namespace {
 
-/** Longest wait of one call for changes. On a connection that stops responding,
- *  a change is seen only after this wait. A change of the configuration must be
- *  seen within 2 s. */
-constexpr Duration kWatchWait = milliseconds(900);
 constexpr Duration kReadTimeout = milliseconds(1500);
 constexpr Duration kRetryPause = milliseconds(150);
+/** From this size on, an answer takes noticeable time on a narrow link. */
+constexpr size_t kLargeAnswerBytes = size_t{64} << 10;
 
 }  // namespace
 
 TableWatch::TableWatch(boost::asio::io_context& aContext, StoreClient& aStore,
-                       EventLog& aLog, std::string aTable,
+                       EventLog& aLog, std::string aTable, WatchTiming aTiming,
                        TableListener aListener)
     : m_store(aStore),
       m_log(aLog),
       m_table(std::move(aTable)),
       m_listener(std::move(aListener)),
-      m_timer(aContext) {}
+      m_timer(aContext),
+      m_timing(aTiming) {}
 
 void TableWatch::Start() { ReadFrom(""); }
 
@@ -36,7 +37,12 @@
 void TableWatch::ReadFrom(std::string aFrom) {
   if (m_stopped) return;
   const bool continued = !aFrom.empty();
-  if (!continued) m_listed.clear();
+  // The first of several reads counts: rows that change later are reported by
+  // the wait for changes.
+  if (!continued) {
+    m_listed.clear();
+    m_askedAt = BootNow();
+  }
   m_store.Read(m_table, "", aFrom, kReadTimeout,
                [self = shared_from_this(), continued](RowsResult aResult) {
                  self->OnRows(std::move(aResult), continued);
@@ -56,27 +62,47 @@
   // A large table takes several reads. Rows that change in between are reported
   // by the wait for changes, which starts at the version of the first read.
   if (!aContinued) m_version = aResult.m_version;
+  bool anyChange = false;
   for (const StoreRow& row : aResult.m_rows) {
     m_listed.insert(row.m_key.m_key);
-    Apply(row);
+    anyChange = Apply(row) || anyChange;
   }
   if (aResult.m_truncated && !aResult.m_rows.empty()) {
-    // The lowest key after the last one, with its NUL byte URL-encoded.
-    ReadFrom(aResult.m_rows.back().m_key.m_key + "%00");
+    ReadFrom(KeyAfter(aResult.m_rows.back().m_key.m_key));
     return;
   }
-  const std::set<std::string> known = m_known;
-  for (const std::string& key : known) {
+  const std::map<std::string, RowVersion> known = m_known;
+  for (const auto& [key, version] : known) {
     if (m_listed.count(key) > 0) continue;
     m_known.erase(key);
     m_listener.m_removed(key);
   }
-  WatchChanges();
+  m_confirmedAt = m_askedAt;
+  Continue(aResult, anyChange);
+}
+
+void TableWatch::Continue(const RowsResult& aResult, bool aAnyChange) {
+  size_t bytes = 0;
+  for (const StoreRow& row : aResult.m_rows) bytes += row.m_value.size();
+  if (m_timing.m_newestOnly && aAnyChange && bytes > kLargeAnswerBytes) {
+    ReadFrom("");
+    return;
+  }
+  if (m_timing.m_pause == Duration::zero()) {
+    WatchChanges();
+    return;
+  }
+  m_timer.expires_after(m_timing.m_pause);
+  m_timer.async_wait(
+      [self = shared_from_this()](boost::system::error_code aError) {
+        if (!aError) self->WatchChanges();
+      });
 }
 
 void TableWatch::WatchChanges() {
   if (m_stopped) return;
-  m_store.Watch(m_table, m_version, kWatchWait,
+  m_askedAt = BootNow();
+  m_store.Watch(m_table, m_version, m_timing.m_wait,
                 [self = shared_from_this()](RowsResult aResult) {
                   self->OnChanges(std::move(aResult));
                 });
@@ -95,9 +121,13 @@
     Retry();
     return;
   }
-  for (const StoreRow& row : aResult.m_rows) Apply(row);
+  bool anyChange = false;
+  for (const StoreRow& row : aResult.m_rows) {
+    anyChange = Apply(row) || anyChange;
+  }
   m_version = std::max(m_version, aResult.m_version);
-  WatchChanges();
+  m_confirmedAt = m_askedAt;
+  Continue(aResult, anyChange);
 }
 
 void TableWatch::Retry() {
@@ -113,16 +143,19 @@
       });
 }
 
-void TableWatch::Apply(const StoreRow& aRow) {
-  if (!aRow.m_key.m_part.empty()) return;
+bool TableWatch::Apply(const StoreRow& aRow) {
+  if (!aRow.m_key.m_part.empty()) return false;
+  const std::string& key = aRow.m_key.m_key;
   if (aRow.m_deleted) {
-    if (m_known.erase(aRow.m_key.m_key) > 0) {
-      m_listener.m_removed(aRow.m_key.m_key);
-    }
-    return;
+    if (m_known.erase(key) == 0) return false;
+    m_listener.m_removed(key);
+    return true;
   }
-  m_known.insert(aRow.m_key.m_key);
+  RowVersion& known = m_known[key];
+  if (known == aRow.m_version) return false;
+  known = aRow.m_version;
   m_listener.m_changed(aRow);
+  return true;
 }
 
 }  // namespace bronze
--- a/src/scheduler/table_watch.h
+++ b/src/scheduler/table_watch.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -24,32 +25,56 @@
   std::function<void(const std::string& aKey)> m_removed;
 };
 
+/** How often a table is asked for changes. */
+struct WatchTiming {
+  /** Longest wait of one call for changes. On a connection that stops
+   *  responding, a change is seen only after this wait. */
+  Duration m_wait = milliseconds(900);
+  /** Pause after a call, for tables that change all the time. */
+  Duration m_pause{};
+  /** Only the newest version of a row counts, and a row may be large. Changes
+   *  that follow each other then cost one read of the table instead of one
+   *  transfer each. */
+  bool m_newestOnly = false;
+};
+
 /** Keeps itself alive while a call to the store is in progress. The listener is
  *  not called after Stop. */
 class TableWatch : public std::enable_shared_from_this<TableWatch> {
  public:
   TableWatch(boost::asio::io_context& aContext, StoreClient& aStore,
-             EventLog& aLog, std::string aTable, TableListener aListener);
+             EventLog& aLog, std::string aTable, WatchTiming aTiming,
+             TableListener aListener);
 
   void Start();
   void Stop();
 
+  /** @return a time up to which all changes of the table were reported. */
+  [[nodiscard]] TimePoint ConfirmedAt() const { return m_confirmedAt; }
+
  private:
   void ReadFrom(std::string aFrom);
   void OnRows(RowsResult aResult, bool aContinued);
+  /** Waits for changes, or reads the table again, after an answer. */
+  void Continue(const RowsResult& aResult, bool aAnyChange);
   void WatchChanges();
   void OnChanges(RowsResult aResult);
   void Retry();
-  void Apply(const StoreRow& aRow);
+  /** @return whether the row has changed. */
+  bool Apply(const StoreRow& aRow);
 
   StoreClient& m_store;
   EventLog& m_log;
   std::string m_table;
   TableListener m_listener;
   boost::asio::steady_timer m_timer;
-  std::set<std::string> m_known;  ///< Keys reported to the listener as present.
+  /** Rows reported to the listener as present, with their version. */
+  std::map<std::string, RowVersion> m_known;
   std::set<std::string> m_listed;  ///< Keys found by the current read.
-  RowVersion m_version;  ///< Changes up to this version were reported.
+  WatchTiming m_timing;
+  TimePoint m_askedAt;      ///< When the pending call was made.
+  TimePoint m_confirmedAt;  ///< Of the last call that was answered.
+  RowVersion m_version;     ///< Changes up to this version were reported.
   bool m_reachable = true;
   bool m_stopped = false;
 };
--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -8,6 +8,7 @@
 #include "standin/row_store.h"
 
 #include <boost/beast/core/detail/base64.hpp>
+#include <boost/url/pct_string_view.hpp>
 #include <nlohmann/json.hpp>
 
 namespace bronze::standin {
@@ -39,7 +40,9 @@
   const size_t at = text.find("&" + aName + "=");
   if (at == std::string::npos) return {};
   const size_t begin = at + aName.size() + 2;
-  return text.substr(begin, text.find('&', begin) - begin);
+  const std::string encoded = text.substr(begin, text.find('&', begin) - begin);
+  const auto value = boost::urls::make_pct_string_view(encoded);
+  return value ? value->decode() : std::string();
 }
 
 HttpReply JsonReply(int aStatus, const Json& aBody) {
@@ -180,9 +183,7 @@
   constexpr size_t kMaxRows = 500;
   const std::string table = QueryValue(aCall.m_target, "table");
   const std::string part = QueryValue(aCall.m_target, "part");
-  std::string from = QueryValue(aCall.m_target, "from");
-  const size_t escape = from.find("%00");
-  if (escape != std::string::npos) from.replace(escape, 3, 1, '\0');
+  const std::string from = QueryValue(aCall.m_target, "from");
   const std::lock_guard<std::mutex> lock(m_mutex);
   Json rows = Json::array();
   bool truncated = false;
--- a/tests/codec/stored_samples.cpp
+++ b/tests/codec/stored_samples.cpp
@@ -107,6 +107,18 @@
   return row;
 }
 
+HeartbeatRow SampleHeartbeatRow() {
+  HeartbeatRow row;
+  row.m_vm = "entry-1";
+  row.m_incarnation = 171;
+  row.m_address = "127.0.0.1:7720";
+  row.m_sequence = 172;
+  row.m_cpuShare = 0.5;
+  row.m_term = FencingToken(173);
+  row.m_load = {174, 175, 176, 177, {"a", "b"}};
+  return row;
+}
+
 sched::StoredInterference SampleInterference() {
   sched::StoredInterference interference;
   interference.m_lowestTails = {{"render", 12.5}, {"desk", 13.5}};
@@ -221,8 +233,10 @@
 }
 
 void AddPeerCalls(std::vector<StoredSample>& aSamples) {
-  for (int verb = 0; verb <= static_cast<int>(PeerVerb::CountPending); ++verb) {
+  for (int verb = 0; verb <= static_cast<int>(PeerVerb::Adopt); ++verb) {
     PeerCall call;
+    call.m_routed = verb == static_cast<int>(PeerVerb::Adopt);
+    call.m_state = SampleState();
     call.m_verb = static_cast<PeerVerb>(verb);
     call.m_cell = CellId(131);
     call.m_job = JobId(132);
@@ -237,6 +251,10 @@
   answer.m_count = 134;
   aSamples.push_back(
       Make("peer-answer", answer, EncodePeerAnswer, DecodePeerAnswer));
+  answer.m_routedTo = CellId(135);
+  aSamples.push_back(
+      Make("peer-answer-routed", answer, EncodePeerAnswer, DecodePeerAnswer));
+  answer.m_routedTo.reset();
   answer.m_error = MakeError(ErrorKind::NotOwner, "not the owner");
   aSamples.push_back(
       Make("peer-answer-error", answer, EncodePeerAnswer, DecodePeerAnswer));
@@ -276,8 +294,20 @@
     samples.push_back(Make(fmt::format("job-state-{}", phase), state,
                            encodeState, DecodeJobState));
   }
+  state.m_phase = sched::JobPhase::Active;
+  state.m_movingTo = CellId(151);
+  state.m_moveCount = 2;
+  samples.push_back(
+      Make("job-state-moving", state, encodeState, DecodeJobState));
   samples.push_back(
       Make("owner-row", SampleOwnerRow(), EncodeOwnerRow, DecodeOwnerRow));
+  samples.push_back(Make("heartbeat-row", SampleHeartbeatRow(),
+                         EncodeHeartbeatRow, DecodeHeartbeatRow));
+  samples.push_back(Make("layout-row", LayoutRow{{161}, "entry-1"},
+                         EncodeLayoutRow, DecodeLayoutRow));
+  samples.push_back(Make("route-row",
+                         sched::StoredRoute{JobId(162), CellId(163), 164},
+                         EncodeRoute, DecodeRoute));
   samples.push_back(Make("interference", SampleInterference(),
                          EncodeInterference, DecodeInterference));
   samples.push_back(
--- a/tests/core/sched/runner_instance_test.cpp
+++ b/tests/core/sched/runner_instance_test.cpp
@@ -107,6 +107,7 @@
   const auto starts = StartAll();
   BOOST_REQUIRE_EQUAL(starts.size(), 1U);
   const RunnerIndex used = starts[0].m_runner;
+  RemoveRunner(m_cell, m_cell.m_runners[used.Value()].m_entry.m_id);
   bool restarted = false;
   for (int step = 0; step < 20 && !restarted; ++step) {
     if (NextRenewal(m_cell, used, m_now)) {
@@ -121,6 +122,59 @@
   (void)runner;
 }
 
+/** Guards against a second run of a task that succeeded on a runner which the
+ *  owner could not reach until after its lease had ended, while the platform
+ *  still listed the runner (seen on a saturated link). */
+BOOST_AUTO_TEST_CASE(ListedRunnerMayReportAfterItsLease) {
+  AddRunner("a");
+  AddRunner("b");
+  Submit(Spec(1));
+  const auto starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  const RunnerIndex used = starts[0].m_runner;
+  BOOST_REQUIRE(NextRenewal(m_cell, used, m_now).has_value());
+  ApplyRenewalFailure(m_cell, used, OrderOutcome::Unknown, m_now);
+  AdvanceTime(seconds(15));
+  AdvanceRunners(m_cell, m_now);
+  BOOST_TEST(StartAll().empty());
+  Report(used, {},
+         {{EndNumber(1), starts[0].m_task, RunNumber(1), EndKind::Done, ""}});
+  BOOST_TEST(StartAll().empty());
+  BOOST_TEST((m_cell.m_jobs.at(JobId(1)).m_phase == JobPhase::Completed));
+}
+
+/** Guards against a task that waits for ever for the report of a runner which
+ *  stays listed but cannot be reached. */
+BOOST_AUTO_TEST_CASE(WaitForAReportAfterTheLeaseIsBounded) {
+  AddRunner("a");
+  AddRunner("b");
+  Submit(Spec(1));
+  const auto starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  BOOST_REQUIRE(NextRenewal(m_cell, starts[0].m_runner, m_now).has_value());
+  ApplyRenewalFailure(m_cell, starts[0].m_runner, OrderOutcome::Unknown, m_now);
+  AdvanceTime(seconds(22));
+  AdvanceRunners(m_cell, m_now);
+  BOOST_TEST(StartAll().size() == 1U);
+}
+
+/** Guards against long-running tasks that wait for a report after the lease:
+ *  their runs have certainly ended, and they do not succeed. */
+BOOST_AUTO_TEST_CASE(LongRunningTaskRestartsWhenTheLeaseEnds) {
+  AddRunner("a");
+  AddRunner("b");
+  JobSpec spec = Spec(1);
+  spec.m_steps[0].m_longRunning = true;
+  Submit(spec);
+  const auto starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  BOOST_REQUIRE(NextRenewal(m_cell, starts[0].m_runner, m_now).has_value());
+  ApplyRenewalFailure(m_cell, starts[0].m_runner, OrderOutcome::Unknown, m_now);
+  AdvanceTime(seconds(11));
+  AdvanceRunners(m_cell, m_now);
+  BOOST_TEST(StartAll().size() == 1U);
+}
+
 /** Guards against treating tasks as running on a runner that has restarted
  *  under its old id. */
 BOOST_AUTO_TEST_CASE(RunnerRestartEndsItsRuns) {
--- a/tests/core/sched/urgency_test.cpp
+++ b/tests/core/sched/urgency_test.cpp
@@ -254,7 +254,8 @@
   BOOST_REQUIRE_EQUAL(StartAll().size(), 1U);
   BOOST_REQUIRE(NextRenewal(m_cell, first, m_now).has_value());
   ApplyRenewalFailure(m_cell, first, OrderOutcome::Unknown, m_now);
-  AdvanceTime(seconds(15));
+  // Beyond the lease and the wait for a report after it.
+  AdvanceTime(seconds(22));
   AdvanceRunners(m_cell, m_now);
   const RunnerIndex second = AddRunner("b", 4000);
   BOOST_REQUIRE_EQUAL(StartAll().size(), 1U);
--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -16,6 +16,7 @@
 #include <thread>
 #include <vector>
 
+#include "codec/job_cbor.h"
 #include "net/address_func.h"
 #include "net/http_client.h"
 #include "scheduler/entry_node.h"
@@ -50,7 +51,11 @@
     config.m_peerAddress = m_peers.Listen(any).value();
     static std::atomic<uint64_t> sIncarnation = 0;
     m_address = config.m_callerAddress;
-    m_node = std::make_unique<EntryNode>(config, ++sIncarnation,
+    // The platform's usual bounds.
+    config.m_configApply = seconds(2);
+    config.m_drainNotice = seconds(2);
+    m_node = std::make_unique<EntryNode>(m_threads.Context(0), config,
+                                         ++sIncarnation,
                                          [this] { return SettingsText(); });
     m_thread = std::thread([this] { m_node->Run(); });
   }
@@ -119,6 +124,7 @@
         m_store(m_platformThreads),
         m_client(m_platformThreads.Context(0), 2, size_t{1} << 20) {
     m_storeAddress = m_store.Listen();
+    SetCells(1);
     PutConfig(1, "queue");
     AddRunner("r1", milliseconds(100));
     AddRunner("r2", milliseconds(100));
@@ -130,6 +136,11 @@
   NodeFixture(const NodeFixture&) = delete;
   NodeFixture& operator=(const NodeFixture&) = delete;
 
+  /** Stores the layout, so that no node has to determine it first. */
+  void SetCells(uint32_t aCells) {
+    m_store.Put("cell", "layout", "cells", EncodeLayoutRow({{aCells}, ""}));
+  }
+
   void PutConfig(int aVersion, const std::string& aPath) {
     m_store.Put(
         "op", "", "config",
