sched: remember failed searches; cells as large as the largest VMs allow

With smaller cells the searches are cheaper, but tasks wait for room that another cell has. Change: a failed search holds until room appears; only runners whose room may have grown are examined, and a full search follows each 100 ms. Demand and the least urgent priority are updated each 100 ms. Tasks that cannot preempt do not look for tasks to stop. The size of a cell follows the largest VMs, which create the layout first. A process that drains waits for its last answers; a call that gets no answer is repeated at the owner's successor within the caller's window, and no call waits for a connection beyond its timeout.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -12,6 +12,7 @@
 #define BRONZE_CORE_SCHED_CELL_BASE_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -174,6 +175,20 @@
   TimePoint m_since;  ///< When it was chosen or restored.
 };
 
+/** A search that found no runner for a kind of task. Until the next full
+ * search, only runners whose room has changed since have to be examined. */
+struct FailedSearch {
+  ServiceId m_service;
+  Resources m_need;
+  std::string m_label;  ///< Required label; empty: none.
+  bool m_bestEffort = false;
+  ImageIndex m_image;  ///< Counts for best-effort tasks only.
+  /** Set if anti-affinity or advice excluded runners: it holds for this step
+   *  only. */
+  std::optional<StepKey> m_only;
+  size_t m_seen = 0;  ///< Entries of m_roomChanges that were examined.
+};
+
 struct Cell {
   CellSettings m_settings;
   /** Token of this ownership; higher than that of any earlier owner. */
@@ -209,6 +224,9 @@
   /** Exponentially decaying peak of m_shortDemand, in millicores. */
   double m_shortPeak = 0.0;
   TimePoint m_shortPeakAt;  ///< When m_shortPeak was updated.
+  /** Highest, that is least urgent, priority of an active job; updated with
+   *  m_shortPeak. Tasks of such jobs preempt nothing. */
+  int m_leastUrgent = 0;
   ImageInterferenceTable m_interference;
   /** m_interference.m_changes at the last commit that included the table. */
   uint64_t m_interferenceTaken = 0;
@@ -219,6 +237,11 @@
   bool m_commitWanted = false;
   /** Set when a pass over the queue may find room. */
   bool m_capacityChanged = true;
+  /** Searches that failed since m_fullSearchAt. */
+  std::vector<FailedSearch> m_failedSearches;
+  /** Runners whose room may have grown since then, in order of time. */
+  std::vector<RunnerIndex> m_roomChanges;
+  TimePoint m_fullSearchAt;  ///< When both lists were last cleared.
   /** Time of the last log line about a waiting task. */
   TimePoint m_waitLoggedAt;
   CellCounts m_counts;
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -80,6 +80,7 @@
     if (known.m_configVersion >= aConfig.m_version) continue;
     known = {aConfig.m_version, queue.m_policy.m_service};
   }
+  aCell.m_fullSearchAt = TimePoint();
   aCell.m_capacityChanged = true;
 }
 
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -212,34 +212,54 @@
 
 }  // namespace
 
+namespace {
+
+/** The best runner found so far. */
+struct Candidate {
+  RunnerIndex m_runner;
+  double m_score = 0.0;
+};
+
+void ConsiderRunner(const Cell& aCell, const PlacementQuery& aQuery,
+                    RunnerIndex aIndex, TimePoint aNow, PlacementTally& aTally,
+                    Candidate& aBest) {
+  double interference = 0.0;
+  if (uint32_t* reason =
+          RejectionReason(aCell, aQuery, aIndex, aNow, aTally, interference)) {
+    ++*reason;
+    return;
+  }
+  const Runner& runner = aCell.m_runners[aIndex.Value()];
+  double score = Score(aCell.m_settings, runner, *aQuery.m_step) -
+                 kInterferenceWeight * interference -
+                 kRackBalanceWeight * RackShare(aQuery, runner);
+  if (!aQuery.m_rack.empty() && runner.m_rack == aQuery.m_rack) {
+    score += kRackBonus;
+  }
+  if (aIndex == aQuery.m_avoid) score -= kAvoidPenalty;
+  if (!aBest.m_runner.IsValid() || score > aBest.m_score) {
+    aBest = {aIndex, score};
+  }
+}
+
+}  // namespace
+
 RunnerIndex ChooseRunner(const Cell& aCell, const PlacementQuery& aQuery,
                          TimePoint aNow) {
-  RunnerIndex best;
-  double bestScore = 0.0;
+  Candidate best;
   PlacementTally tally;
-  for (uint32_t at = 0; at < aCell.m_runners.size(); ++at) {
-    const RunnerIndex index(at);
-    double interference = 0.0;
-    if (uint32_t* reason =
-            RejectionReason(aCell, aQuery, index, aNow, tally, interference)) {
-      ++*reason;
-      continue;
-    }
-    const Runner& runner = aCell.m_runners[at];
-    double score = Score(aCell.m_settings, runner, *aQuery.m_step) -
-                   kInterferenceWeight * interference -
-                   kRackBalanceWeight * RackShare(aQuery, runner);
-    if (!aQuery.m_rack.empty() && runner.m_rack == aQuery.m_rack) {
-      score += kRackBonus;
+  if (aQuery.m_changesFrom) {
+    const auto& changes = aCell.m_roomChanges;
+    for (size_t at = *aQuery.m_changesFrom; at < changes.size(); ++at) {
+      ConsiderRunner(aCell, aQuery, changes[at], aNow, tally, best);
     }
-    if (index == aQuery.m_avoid) score -= kAvoidPenalty;
-    if (!best.IsValid() || score > bestScore) {
-      best = index;
-      bestScore = score;
+  } else {
+    for (uint32_t at = 0; at < aCell.m_runners.size(); ++at) {
+      ConsiderRunner(aCell, aQuery, RunnerIndex(at), aNow, tally, best);
     }
   }
   if (aQuery.m_tally != nullptr) *aQuery.m_tally = tally;
-  return best;
+  return best.m_runner;
 }
 
 }  // namespace bronze::sched
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/sched/cell_base.h"
@@ -75,6 +76,9 @@
   /** Whether the queue's policy allows the runner; empty: all are allowed. */
   std::function<bool(RunnerIndex)> m_isApproved;
   PlacementTally* m_tally = nullptr;  ///< Output, if set.
+  /** If set, only the runners in m_roomChanges from this index on are examined;
+   *  no other has room. */
+  std::optional<size_t> m_changesFrom;
   /** Set for long-running tasks: racks with a lower load are preferred, so
    *  that each rack keeps room for tasks whose data is there. */
   const RackLoads* m_rackLoads = nullptr;
--- a/src/core/sched/preemption_cmd.h
+++ b/src/core/sched/preemption_cmd.h
@@ -11,6 +11,11 @@
 
 namespace bronze::sched {
 
+/** Whether there may be tasks that are less urgent than the step. */
+[[nodiscard]] inline bool MayPreempt(const Cell& aCell, const QueueKey& aKey) {
+  return aKey.m_priority < aCell.m_leastUrgent;
+}
+
 /**
  * For each waiting task of the step, stops one less urgent task, at most once a
  * second. Among the tasks whose end alone makes enough room, it chooses the one
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -198,7 +198,7 @@
   runner.m_entry.m_startedAt = startedAt;
   runner.m_rack = aEntry.m_labels.empty() ? "" : aEntry.m_labels.back();
   runner.m_listed = true;
-  aCell.m_capacityChanged = true;
+  NoteRoomChange(aCell, index);
   return index;
 }
 
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -337,6 +337,10 @@
   StopStalled(aCell, runner, aNow);
   PaceRunner(aCell, aRunner, aNow);
   ReleaseStoredEnds(aCell, runner, aNow);
+  // The measured loads may leave room for other best-effort tasks.
+  const bool changed = aCell.m_capacityChanged;
+  NoteRoomChange(aCell, aRunner);
+  aCell.m_capacityChanged = changed;
 }
 
 }  // namespace bronze::sched
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "core/sched/advice_cmd.h"
 #include "core/sched/job_cmd.h"
@@ -82,26 +83,6 @@
   return {};
 }
 
-/** Whether one more long-running task leaves the reserve for short tasks free.
- *  The reserve only delays jobs that have not begun: a long-running task that
- *  lost its run gets a new one wherever there is room. */
-bool LeavesShortReserve(const Cell& aCell, const StepSpec& aStep,
-                        const PlacementQuery& aQuery, TimePoint aNow) {
-  double capacity = 0.0;
-  double longRunning = 0.0;
-  for (const Runner& runner : aCell.m_runners) {
-    if (!IsUsable(runner, aQuery.m_service, aNow)) continue;
-    capacity += static_cast<double>(runner.m_entry.m_capacity.m_cores.Value());
-    longRunning += static_cast<double>(runner.m_longRunningCores.Value());
-  }
-  const double reserve = std::clamp(
-      aCell.m_shortPeak, capacity * aCell.m_settings.m_minShortReserve,
-      capacity * aCell.m_settings.m_maxShortReserve);
-  return longRunning + static_cast<double>(aStep.m_need.m_cores.Value()) +
-             reserve <=
-         capacity;
-}
-
 /** Logs why a task waits; one line a second, for the first such task in the
  *  queue. */
 void LogWait(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
@@ -152,34 +133,93 @@
                      });
 }
 
-/** A step with a task that found no room on any runner of its pool. */
-struct UnplacedStep {
-  const StepSpec* m_step = nullptr;
-  ServiceId m_service;
-};
-
-/** State of one pass over the queue. Room only shrinks within a pass, so
- *  larger tasks of the same kind need no search; thus many steps that cannot
- *  be placed do not keep the pass from those that can. */
+/** State of one pass over the queue. */
 struct Pass {
-  std::vector<UnplacedStep> m_unplaced;
-  uint32_t m_failedSearches = 0;  ///< Searches that found no runner.
+  uint32_t m_failedSearches = 0;  ///< Searches of all runners that failed.
+  /** Cores of the pool's usable runners and of the long-running tasks there,
+   * for LeavesShortReserve; computed when they are first needed. */
+  std::optional<ServiceId> m_reserveService;
+  double m_capacity = 0.0;
+  double m_longRunning = 0.0;
 };
 
-/** Whether a task of the same kind that is no larger found no room in this
- *  pass. */
-bool IsKnownUnplaceable(const Pass& aPass, const PlacementQuery& aQuery) {
+/** Whether one more long-running task leaves the reserve for short tasks free.
+ *  The reserve only delays jobs that have not begun: a long-running task that
+ *  lost its run gets a new one wherever there is room. */
+bool LeavesShortReserve(const Cell& aCell, const StepSpec& aStep,
+                        const PlacementQuery& aQuery, Pass& aPass,
+                        TimePoint aNow) {
+  if (aPass.m_reserveService != aQuery.m_service) {
+    aPass.m_reserveService = aQuery.m_service;
+    aPass.m_capacity = 0.0;
+    aPass.m_longRunning = 0.0;
+    for (const Runner& runner : aCell.m_runners) {
+      if (!IsUsable(runner, aQuery.m_service, aNow)) continue;
+      aPass.m_capacity +=
+          static_cast<double>(runner.m_entry.m_capacity.m_cores.Value());
+      aPass.m_longRunning +=
+          static_cast<double>(runner.m_longRunningCores.Value());
+    }
+  }
+  const CellSettings& settings = aCell.m_settings;
+  const double reserve = std::clamp(
+      aCell.m_shortPeak, aPass.m_capacity * settings.m_minShortReserve,
+      aPass.m_capacity * settings.m_maxShortReserve);
+  return aPass.m_longRunning +
+             static_cast<double>(aStep.m_need.m_cores.Value()) + reserve <=
+         aPass.m_capacity;
+}
+
+bool Covers(const FailedSearch& aFailed, const QueueKey& aKey,
+            const StepSpec& aStep, const ServiceId& aService) {
+  if (aFailed.m_only) {
+    const StepKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step};
+    if (*aFailed.m_only != key) return false;
+  }
+  return aFailed.m_bestEffort == aStep.m_bestEffort &&
+         (!aStep.m_bestEffort || aFailed.m_image == aStep.m_imageIndex) &&
+         aFailed.m_label == aStep.m_requiredLabel &&
+         aFailed.m_service == aService && Fits(aFailed.m_need, aStep.m_need);
+}
+
+/** @return the failed search for a task of the same kind that is no larger;
+ * null if there is none. Thus many steps that cannot be placed do not keep a
+ *          pass from those that can. */
+FailedSearch* FindFailedSearch(Cell& aCell, const QueueKey& aKey,
+                               const StepSpec& aStep,
+                               const ServiceId& aService) {
+  FailedSearch* latest = nullptr;
+  for (FailedSearch& failed : aCell.m_failedSearches) {
+    if (!Covers(failed, aKey, aStep, aService)) continue;
+    if (latest == nullptr || failed.m_seen > latest->m_seen) latest = &failed;
+  }
+  return latest;
+}
+
+/** Records that no runner has room for a task of the step. */
+void NoteFailedSearch(Cell& aCell, const QueueKey& aKey,
+                      const PlacementQuery& aQuery) {
   const StepSpec& step = *aQuery.m_step;
-  return std::any_of(
-      aPass.m_unplaced.begin(), aPass.m_unplaced.end(),
-      [&](const UnplacedStep& aUnplaced) {
-        const StepSpec& earlier = *aUnplaced.m_step;
-        return earlier.m_bestEffort == step.m_bestEffort &&
-               (!step.m_bestEffort || earlier.m_image == step.m_image) &&
-               earlier.m_requiredLabel == step.m_requiredLabel &&
-               aUnplaced.m_service == aQuery.m_service &&
-               Fits(earlier.m_need, step.m_need);
-      });
+  // Anti-affinity or the queue's policy may have excluded room that another
+  // step can use.
+  const bool restricted =
+      step.m_antiAffinity > 0 || static_cast<bool>(aQuery.m_isApproved);
+  FailedSearch failed{aQuery.m_service,          step.m_need,
+                      step.m_requiredLabel,      step.m_bestEffort,
+                      step.m_imageIndex,         {},
+                      aCell.m_roomChanges.size()};
+  if (restricted) {
+    failed.m_only = StepKey{aKey.m_job, aKey.m_occurrence, aKey.m_step};
+  }
+  for (FailedSearch& known : aCell.m_failedSearches) {
+    if (known.m_only != failed.m_only || known.m_need != failed.m_need ||
+        !Covers(known, aKey, step, aQuery.m_service)) {
+      continue;
+    }
+    known.m_seen = failed.m_seen;
+    return;
+  }
+  aCell.m_failedSearches.push_back(std::move(failed));
 }
 
 void AskAdviceIfNeeded(Cell& aCell, const QueueKey& aKey,
@@ -198,16 +238,15 @@
  *  urgent tasks for it. */
 void NoteUnplaced(Cell& aCell, const QueueKey& aKey,
                   const PlacementQuery& aQuery, Pass& aPass, TimePoint aNow) {
-  aPass.m_failedSearches +=
-      aQuery.m_step->m_bestEffort ? kBestEffortSearchCost : 1;
-  // Anti-affinity or the queue's policy may have excluded room that another
-  // step can use.
-  const bool restricted = aQuery.m_step->m_antiAffinity > 0 ||
-                          static_cast<bool>(aQuery.m_isApproved);
-  if (!restricted || aQuery.m_tally->m_unfit == 0) {
-    aPass.m_unplaced.push_back({aQuery.m_step, aQuery.m_service});
+  if (!aQuery.m_changesFrom) {
+    aPass.m_failedSearches +=
+        aQuery.m_step->m_bestEffort ? kBestEffortSearchCost : 1;
+  }
+  NoteFailedSearch(aCell, aKey, aQuery);
+  const bool someFull = aQuery.m_changesFrom || aQuery.m_tally->m_full > 0;
+  if (someFull && MayPreempt(aCell, aKey)) {
+    PreemptForStep(aCell, aKey, aQuery, aNow);
   }
-  if (aQuery.m_tally->m_full > 0) PreemptForStep(aCell, aKey, aQuery, aNow);
   AskAdviceIfNeeded(aCell, aKey, aQuery, aNow);
 }
 
@@ -232,11 +271,13 @@
       ++aPass.m_failedSearches;
       AskAdviceIfNeeded(aCell, aKey, aQuery, aNow);
       const bool changed = aCell.m_capacityChanged;
+      const size_t changes = aCell.m_roomChanges.size();
       for (size_t at = 0; at < placed; ++at) {
         Release(aCell, members[at], step, *FindTask(aCell, members[at]).m_task);
       }
       // This released only what the pass itself had reserved.
       aCell.m_capacityChanged = changed;
+      aCell.m_roomChanges.resize(changes);
       return StepResult::NonePlaced;
     }
     if (step.m_sameRack && aQuery.m_rack.empty()) {
@@ -257,11 +298,20 @@
                      TimePoint aNow) {
   Job& job = aCell.m_jobs.at(aKey.m_job);
   const StepSpec& step = job.m_spec.m_steps[aKey.m_step];
+  const FailedSearch* failed =
+      FindFailedSearch(aCell, aKey, step, ServiceOf(aCell, job.m_spec));
+  const bool unplaceable =
+      failed != nullptr && failed->m_seen == aCell.m_roomChanges.size();
+  // With a long queue, most steps end here in each pass.
+  if (unplaceable && (step.m_gang || !MayPreempt(aCell, aKey))) {
+    return StepResult::NonePlaced;
+  }
   PlacementQuery query = QueryFor(aCell, aKey, job, step, aNow);
-  if (IsKnownUnplaceable(aPass, query)) {
-    if (!step.m_gang) PreemptForStep(aCell, aKey, query, aNow);
+  if (unplaceable) {
+    PreemptForStep(aCell, aKey, query, aNow);
     return StepResult::NonePlaced;
   }
+  if (failed != nullptr && !step.m_gang) query.m_changesFrom = failed->m_seen;
   if (step.m_gang) return PlaceGang(aCell, aKey, query, aPass, aNow);
   if (step.m_sameRack) query.m_rack = RackOfStep(aCell, job, aKey);
   PlacementTally tally;
@@ -284,7 +334,7 @@
     // of the start.
     const bool isNew = !job.m_anyStarted && place.m_task->m_run.Value() == 0;
     if (step.m_longRunning && isNew &&
-        !LeavesShortReserve(aCell, step, query, aNow)) {
+        !LeavesShortReserve(aCell, step, query, aPass, aNow)) {
       return any ? StepResult::SomeLeft : StepResult::NonePlaced;
     }
     query.m_avoid = place.m_task->m_avoid;
@@ -305,6 +355,7 @@
     if (step.m_longRunning) {
       racks[aCell.m_runners[runner.Value()].m_rack].m_longRunningDemand +=
           step.m_need.m_cores;
+      aPass.m_longRunning += static_cast<double>(step.m_need.m_cores.Value());
     }
     any = true;
   }
@@ -315,6 +366,23 @@
 
 namespace {
 
+/** The values below change slowly, and updating them takes a look at all jobs,
+ *  waiting tasks and runners. */
+constexpr Duration kDemandInterval = milliseconds(100);
+
+/** Quarantines and pauses end without any change of a runner's room, so failed
+ *  searches are forgotten after this time. */
+constexpr Duration kFullSearchInterval = milliseconds(100);
+
+void UpdateLeastUrgent(Cell& aCell) {
+  aCell.m_leastUrgent = std::numeric_limits<int>::min();
+  for (const auto& [id, job] : aCell.m_jobs) {
+    if (job.m_phase != JobPhase::Active) continue;
+    aCell.m_leastUrgent =
+        std::max(aCell.m_leastUrgent, job.m_spec.m_policy.m_priority);
+  }
+}
+
 /** Updates the decaying peak of the cores that short tasks hold or wait for. */
 void UpdateShortDemand(Cell& aCell, TimePoint aNow) {
   aCell.m_shortDemand = Millicores();
@@ -343,7 +411,15 @@
 void PlaceTasks(Cell& aCell, TimePoint aNow) {
   if (!aCell.m_capacityChanged) return;
   aCell.m_capacityChanged = false;
-  UpdateShortDemand(aCell, aNow);
+  if (aNow - aCell.m_shortPeakAt >= kDemandInterval) {
+    UpdateShortDemand(aCell, aNow);
+    UpdateLeastUrgent(aCell);
+  }
+  if (aNow - aCell.m_fullSearchAt >= kFullSearchInterval) {
+    aCell.m_fullSearchAt = aNow;
+    aCell.m_failedSearches.clear();
+    aCell.m_roomChanges.clear();
+  }
   Pass pass;
   for (auto at = aCell.m_queue.begin();
        at != aCell.m_queue.end() &&
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -85,8 +85,20 @@
   if (aStep.m_longRunning) runner.m_longRunningCores += aStep.m_need.m_cores;
 }
 
+void NoteRoomChange(Cell& aCell, RunnerIndex aRunner) {
+  // Far more than between two full searches; the next pass makes one.
+  constexpr size_t kMaxChanges = 4096;
+  aCell.m_capacityChanged = true;
+  if (aCell.m_roomChanges.size() < kMaxChanges) {
+    aCell.m_roomChanges.push_back(aRunner);
+  } else {
+    aCell.m_fullSearchAt = TimePoint();
+  }
+}
+
 void Release(Cell& aCell, const TaskKey& aKey, const StepSpec& aStep,
              Task& aTask) {
+  NoteRoomChange(aCell, aTask.m_runner);
   Runner& runner = aCell.m_runners[aTask.m_runner.Value()];
   std::erase(runner.m_tasks, aKey);
   if (aTask.m_phase == TaskPhase::Intended) --aCell.m_window.m_intended;
@@ -95,7 +107,6 @@
   aTask.m_measure = 0;
   aTask.m_ownLoad = -1.0;
   aTask.m_load = -1.0;
-  aCell.m_capacityChanged = true;
   if (aStep.m_bestEffort) {
     runner.m_bestEffortMemory -= aStep.m_need.m_memory;
     AddBestEffortDemand(runner, aStep, Millicores() - aStep.m_need.m_cores);
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -49,6 +49,9 @@
 void Reserve(Cell& aCell, const TaskKey& aKey, const StepSpec& aStep,
              Task& aTask, RunnerIndex aRunner);
 
+/** The runner may have more room than before: the next pass examines it. */
+void NoteRoomChange(Cell& aCell, RunnerIndex aRunner);
+
 /** Undoes Reserve. */
 void Release(Cell& aCell, const TaskKey& aKey, const StepSpec& aStep,
              Task& aTask);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
@@ -135,16 +136,21 @@
     }
     auto& queue = m_options.m_urgent ? address.m_urgent : address.m_waiting;
     queue.push_back(this->shared_from_this());
+    m_waitTimer.emplace(m_pool->m_context, m_timeout);
+    m_waitTimer->async_wait(
+        [weak = this->weak_from_this()](beast::error_code aError) {
+          const auto self = weak.lock();
+          if (!aError && self) self->GiveUpWaiting();
+        });
   }
 
   void Begin() override {
+    // A call that was given up stays in its queue.
+    if (!m_handler) return;
+    m_waitTimer.reset();
     ++m_pool->m_addresses[m_address].m_busy;
-    const bool late = std::chrono::steady_clock::now() - m_madeAt > m_timeout;
-    if (m_cancelled || late ||
-        (m_options.m_mayBegin && !m_options.m_mayBegin())) {
-      m_outcome.m_timedOut = late;
-      m_outcome.m_error = late ? "no connection became free in time"
-                               : "the call was withdrawn before it was sent";
+    if (m_cancelled || (m_options.m_mayBegin && !m_options.m_mayBegin())) {
+      m_outcome.m_error = "the call was withdrawn before it was sent";
       asio::post(m_pool->m_context,
                  [self = this->shared_from_this()] { self->Finish(); });
       return;
@@ -177,6 +183,15 @@
   }
 
  private:
+  void GiveUpWaiting() {
+    if (!m_handler) return;
+    m_outcome.m_timedOut = true;
+    m_outcome.m_error = "no connection became free in time";
+    auto handler = std::move(m_handler);
+    m_handler = nullptr;
+    handler(std::move(m_outcome));
+  }
+
   void TakeIdle() {
     auto& idle = m_pool->m_addresses[m_address].m_idle;
     while (!idle.empty() && !m_stream) {
@@ -285,6 +300,7 @@
   CallHandler m_handler;
   CallOptions m_options;
   std::chrono::steady_clock::time_point m_madeAt;
+  std::optional<asio::steady_timer> m_waitTimer;  ///< Set while it waits.
   bool m_cancelled = false;
   http::request<http::string_body> m_request;
   std::unique_ptr<beast::tcp_stream> m_stream;
--- a/src/scheduler/cell_directory.cpp
+++ b/src/scheduler/cell_directory.cpp
@@ -9,6 +9,7 @@
 
 #include "scheduler/boot_clock.h"
 #include "scheduler/cell_owner.h"
+#include "scheduler/owner_timing.h"
 
 namespace bronze {
 
@@ -27,8 +28,8 @@
 /** Pause before a read that a failed call asked for. */
 constexpr Duration kRefreshPause = milliseconds(60);
 /** No calls are sent to an owner whose heartbeat, read from a reachable store,
- *  has not changed for this long. */
-constexpr Duration kMaxHeartbeatAge = seconds(4);
+ *  has not changed for this long: it may accept nothing any more. */
+constexpr Duration kMaxHeartbeatAge = kOwnerTimeout + milliseconds(300);
 /** No jobs are sent to a cell whose load was published longer ago. */
 constexpr Duration kMaxLoadAge = milliseconds(1500);
 
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -31,6 +31,11 @@
 /** Pause before a call goes to another owner than the one that refused it; the
  *  directory is read again meanwhile. */
 constexpr Duration kRetryPause = milliseconds(130);
+/** A call to an owner that gets no answer within this time is repeated, at its
+ *  successor if there is one by then. */
+constexpr Duration kAttemptTimeout = milliseconds(1300);
+/** A shorter rest of the caller's window is not worth another attempt. */
+constexpr Duration kMinAttempt = milliseconds(150);
 /** Routes that a call follows. A job moves at most four times. */
 constexpr int kMaxHops = 6;
 /** Known routes are forgotten beyond this number; they save one hop each. */
@@ -47,8 +52,12 @@
 constexpr Duration kHousekeepingPause = seconds(1);
 constexpr char kPeerPath[] = "/peer/call";
 /** Part of the time between SIGTERM and SIGKILL for which the process still
- *  answers calls in progress; then it exits. */
+ *  takes calls. */
 constexpr double kDrainShareOfGrace = 0.7;
+/** Part of this time after which it exits although a call has no answer yet. */
+constexpr double kLastShareOfGrace = 0.92;
+/** Time that the last answers need to leave the process. */
+constexpr Duration kLastAnswerTime = milliseconds(100);
 
 std::string_view VerbName(CallerVerb aVerb) {
   switch (aVerb) {
@@ -211,9 +220,11 @@
   call.m_window = std::max(aRequest.m_window - kAnswerMargin, kAnswerMargin);
   call.m_job = aRequest.m_job;
   call.m_spec = std::move(aRequest.m_spec);
+  ++m_openRequests;
   ServeCall(std::move(call),
             [this, request = std::move(aRequest), responder = aResponder,
              begunAt = BootNow()](PeerAnswer aAnswer) {
+              --m_openRequests;
               AnswerCaller(request, aAnswer, responder, begunAt);
             });
 }
@@ -280,42 +291,59 @@
     return;
   }
   PeerCall sent = aCall;
-  Forward(*address, std::move(sent),
-          [this, call = std::move(aCall), handler = std::move(aHandler),
-           address = *address](PeerAnswer aAnswer) mutable {
-            const bool notDone =
-                aAnswer.m_error &&
-                (aAnswer.m_error->m_kind == ErrorKind::NotOwner ||
-                 aAnswer.m_error->m_kind == ErrorKind::NotReady);
-            if (!notDone) {
-              handler(std::move(aAnswer));
-              return;
-            }
-            RetryAtNewOwner(std::move(call), address, std::move(aAnswer),
-                            std::move(handler));
-          });
+  sent.m_window = std::min(aCall.m_window, Duration(kAttemptTimeout));
+  Forward(
+      *address, std::move(sent),
+      [this, call = std::move(aCall), handler = std::move(aHandler),
+       address = *address, begunAt = BootNow()](PeerAnswer aAnswer) mutable {
+        call.m_window -= BootNow() - begunAt;
+        if (aAnswer.m_error && MayRepeat(call, *aAnswer.m_error)) {
+          RetryAtOwner(std::move(call), address, std::move(aAnswer),
+                       std::move(handler));
+        } else {
+          handler(std::move(aAnswer));
+        }
+      });
 }
 
-void EntryNode::RetryAtNewOwner(PeerCall aCall, const std::string& aRefusedBy,
-                                PeerAnswer aRefusal, AnswerHandler aHandler) {
+bool EntryNode::MayRepeat(const PeerCall& aCall, const Error& aError) {
+  switch (aError.m_kind) {
+    case ErrorKind::NotOwner:
+    case ErrorKind::NotReady:
+      return true;
+    case ErrorKind::OutcomeUnknown:
+      // A job that is submitted or cancelled again under its id is the same,
+      // and what a former owner does after its successor's claim has no effect.
+      return aCall.m_verb != PeerVerb::Adopt && aCall.m_window > kMinAttempt;
+    default:
+      return false;
+  }
+}
+
+void EntryNode::RetryAtOwner(PeerCall aCall, const std::string& aTried,
+                             PeerAnswer aLast, AnswerHandler aHandler) {
   m_directory.Refresh();
   auto timer = std::make_shared<boost::asio::steady_timer>(m_context);
   timer->expires_after(kRetryPause);
-  timer->async_wait(
-      [this, timer, call = std::move(aCall), refusedBy = aRefusedBy,
-       refusal = std::move(aRefusal),
-       handler = std::move(aHandler)](boost::system::error_code) mutable {
-        if (const auto owner = m_elections[call.m_cell.Value()]->LocalOwner()) {
-          owner->Handle(std::move(call), std::move(handler));
-          return;
-        }
-        const auto address = m_directory.AddressOf(call.m_cell);
-        if (!address || *address == refusedBy) {
-          handler(std::move(refusal));
-          return;
-        }
-        Forward(*address, std::move(call), std::move(handler));
-      });
+  timer->async_wait([this, timer, call = std::move(aCall), tried = aTried,
+                     last = std::move(aLast), handler = std::move(aHandler)](
+                        boost::system::error_code) mutable {
+    call.m_window -= kRetryPause;
+    if (const auto owner = m_elections[call.m_cell.Value()]->LocalOwner()) {
+      owner->Handle(std::move(call), std::move(handler));
+      return;
+    }
+    const bool unknown = last.m_error->m_kind == ErrorKind::OutcomeUnknown;
+    const auto address = m_directory.AddressOf(call.m_cell);
+    if (address && *address != tried) {
+      CallOwner(std::move(call), std::move(handler));
+    } else if (unknown && call.m_window > kMinAttempt) {
+      // Only an owner can tell whether the change was made.
+      RetryAtOwner(std::move(call), tried, std::move(last), std::move(handler));
+    } else {
+      handler(std::move(last));
+    }
+  });
 }
 
 namespace {
@@ -560,11 +588,34 @@
   for (const auto& election : m_elections) {
     election->HandOver([this] { m_log.Write("[main]", "cell handed over"); });
   }
-  const auto left = static_cast<int64_t>(
-      static_cast<double>(m_config.m_grace.count()) * kDrainShareOfGrace);
-  m_drainTimer.expires_after(Duration(left));
+  m_drainBegunAt = BootNow();
+  m_drainTimer.expires_after(ShareOfGrace(kDrainShareOfGrace));
+  m_drainTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) return;
+    if (m_onLastCalls) m_onLastCalls();
+    m_idleSince = BootNow();
+    AwaitLastAnswers();
+  });
+}
+
+Duration EntryNode::ShareOfGrace(double aShare) const {
+  return Duration(static_cast<int64_t>(
+      static_cast<double>(m_config.m_grace.count()) * aShare));
+}
+
+void EntryNode::AwaitLastAnswers() {
+  const TimePoint now = BootNow();
+  if (m_openRequests > 0) m_idleSince = now;
+  const bool answered = now - m_idleSince >= kLastAnswerTime;
+  const bool late = now - m_drainBegunAt > ShareOfGrace(kLastShareOfGrace);
+  if (answered || late) {
+    m_log.Write("[main]", "drained unanswered={}", m_openRequests);
+    m_context.stop();
+    return;
+  }
+  m_drainTimer.expires_after(kLastAnswerTime / 2);
   m_drainTimer.async_wait([this](boost::system::error_code aError) {
-    if (!aError) m_context.stop();
+    if (!aError) AwaitLastAnswers();
   });
 }
 
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -52,6 +52,12 @@
   void HandleHealth(const HttpCall& aCall,
                     const std::shared_ptr<HttpResponder>& aResponder);
 
+  /** Sets what is to be done when the drain is about to end, such as to accept
+   *  no more connections. To be called before Run. */
+  void SetOnLastCalls(std::function<void()> aOnLastCalls) {
+    m_onLastCalls = std::move(aOnLastCalls);
+  }
+
   /** Starts the drain after SIGTERM. Callable from any thread. */
   void PostDrain();
   /** Reloads the settings after SIGHUP. Callable from any thread. */
@@ -71,10 +77,12 @@
   void FollowRoutes(PeerCall aCall, AnswerHandler aHandler, int aHopsLeft);
   /** Passes the call to the owner of its cell. */
   void CallOwner(PeerCall aCall, AnswerHandler aHandler);
-  /** The owner refused the call and did nothing: calls the new owner, if there
-   *  is one by now. */
-  void RetryAtNewOwner(PeerCall aCall, const std::string& aRefusedBy,
-                       PeerAnswer aRefusal, AnswerHandler aHandler);
+  /** Whether the call may be made again after the error. */
+  [[nodiscard]] static bool MayRepeat(const PeerCall& aCall,
+                                      const Error& aError);
+  /** Calls the cell's new owner, once there is one and if there is time. */
+  void RetryAtOwner(PeerCall aCall, const std::string& aTried, PeerAnswer aLast,
+                    AnswerHandler aHandler);
   /** Adds up the counts of all cells. */
   void CountPending(const PeerCall& aCall, const AnswerHandler& aHandler);
   void Forward(const std::string& aAddress, PeerCall aCall,
@@ -84,6 +92,9 @@
   [[nodiscard]] std::shared_ptr<const sched::LiveConfig> Config() const;
   [[nodiscard]] std::string Metrics();
   void Drain();
+  /** Ends the process once all calls in progress are answered. */
+  void AwaitLastAnswers();
+  [[nodiscard]] Duration ShareOfGrace(double aShare) const;
 
   /** Once a second: writes out the log and checks the settings for changes. */
   void Housekeep();
@@ -126,6 +137,10 @@
   bool m_hasConfig = false;  ///< Some configuration is in force.
   std::atomic<bool> m_ready = false;
   bool m_draining = false;
+  TimePoint m_drainBegunAt;
+  TimePoint m_idleSince;      ///< Since when no caller waits, while draining.
+  size_t m_openRequests = 0;  ///< Callers' requests without an answer.
+  std::function<void()> m_onLastCalls;
   uint64_t m_incarnation;
   LatencyHistogram m_answerTimes;  ///< Time to answer callers' requests.
   std::map<std::string, uint64_t> m_answers;  ///< Count by verb and result.
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -110,6 +110,7 @@
     });
   };
   awaitReload();
+  node.SetOnLastCalls([&callers] { callers.Drain(); });
   node.Run();
   callers.Drain();
   threads.Stop();
--- a/src/scheduler/node_policy.cpp
+++ b/src/scheduler/node_policy.cpp
@@ -24,17 +24,16 @@
 /** Runners per Mbit/s of a VM's link: a runner takes some 4 KB/s, and its cell
  *  may use a quarter of the link. */
 constexpr double kRunnersPerMbps = 7.8;
-/** Runners per core: a runner with two starts a second takes 0.00035 of a core,
- *  and its cell may use a third of the VM's share. */
-constexpr double kRunnersPerCore = 1000.0;
+/** Runners per core: a runner with two starts a second takes some 0.001 of a
+ *  core, and its cell may use half of the VM's share. */
+constexpr double kRunnersPerCore = 600.0;
 constexpr double kMinRunnersPerCell = 12.0;
 
 /** VMs create the layout row within this time, in the order of a hash. */
 constexpr uint64_t kLayoutSpreadMs = 300;
-/** Links from this bandwidth on. VMs with such a link wait longer, so that the
- *  size of cells suits the other VMs, if there are any. */
-constexpr double kWideLinkMbps = 100.0;
-constexpr Duration kWideLinkDelay = milliseconds(400);
+/** Most that a VM with little CPU waits longer: cells should suit the largest
+ *  VMs, as these claim them first. */
+constexpr double kSmallVmDelayMs = 600.0;
 
 /** Part of the time until a configuration is in force that is left for reading
  *  it on a second connection. */
@@ -67,8 +66,10 @@
   policy.m_vm = aConfig.m_vm;
   policy.m_runnersPerCell =
       aRunnersPerCell > 0 ? aRunnersPerCell : static_cast<size_t>(fitting);
-  policy.m_delay = milliseconds(static_cast<int64_t>(hash % kLayoutSpreadMs));
-  if (aConfig.m_linkMbps >= kWideLinkMbps) policy.m_delay += kWideLinkDelay;
+  const double lacking = std::clamp(1.0 - aConfig.m_cpuShare, 0.0, 1.0);
+  policy.m_delay =
+      milliseconds(static_cast<int64_t>(hash % kLayoutSpreadMs)) +
+      milliseconds(static_cast<int64_t>(lacking * kSmallVmDelayMs));
   return policy;
 }
 
