net: a call whose turn comes at the end of its wait ends once

Cause: the timer of a waiting call may expire just before its turn cancels it. The call then ended twice: first as not sent, although it was on its way, then with an empty handler, which ended the process. The owner took the start for not sent and placed the task again (TWICE). Ruled out: late orders (the first run is listed as stopped by its owner). Change: a begun call ignores the timer. Test TurnAndEndOfTheWaitMayCoincide aborts without the change. Calls that fail all the time no longer put off the next read of the directory: found by JobsOfManyCellsAreServedByEachNode, where a caller that tried again each 30 ms kept its VM from seeing any owner. Tests with several cells and nodes, the layout, and odd runner entries.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -147,6 +147,7 @@
   void Begin() override {
     // A call that was given up stays in its queue.
     if (!m_handler) return;
+    m_begun = true;
     m_waitTimer.reset();
     ++m_pool->m_addresses[m_address].m_busy;
     if (m_cancelled || (m_options.m_mayBegin && !m_options.m_mayBegin())) {
@@ -184,7 +185,8 @@
 
  private:
   void GiveUpWaiting() {
-    if (!m_handler) return;
+    // The timer may have expired before its cancellation.
+    if (m_begun) return;
     m_outcome.m_timedOut = true;
     m_outcome.m_error = "no connection became free in time";
     auto handler = std::move(m_handler);
@@ -301,6 +303,7 @@
   CallOptions m_options;
   std::chrono::steady_clock::time_point m_madeAt;
   std::optional<asio::steady_timer> m_waitTimer;  ///< Set while it waits.
+  bool m_begun = false;  ///< It has a connection, or is about to end.
   bool m_cancelled = false;
   http::request<http::string_body> m_request;
   std::unique_ptr<beast::tcp_stream> m_stream;
--- a/src/scheduler/cell_directory.cpp
+++ b/src/scheduler/cell_directory.cpp
@@ -61,6 +61,7 @@
 }
 
 void CellDirectory::ReadLater(Duration aPause) {
+  m_nextReadAt = BootNow() + aPause;
   m_timer.expires_after(aPause);
   m_timer.async_wait([this](boost::system::error_code aError) {
     if (!aError) Read();
@@ -68,7 +69,10 @@
 }
 
 void CellDirectory::Refresh() {
-  if (!m_reading && !m_views.empty()) ReadLater(kRefreshPause);
+  // A read that is due sooner stays: calls that fail all the time must not put
+  // it off.
+  const bool soon = BootNow() + kRefreshPause >= m_nextReadAt;
+  if (!m_reading && !m_views.empty() && !soon) ReadLater(kRefreshPause);
 }
 
 void CellDirectory::Read() {
--- a/src/scheduler/cell_directory.h
+++ b/src/scheduler/cell_directory.h
@@ -72,6 +72,7 @@
   bool m_ownsCell = false;
   bool m_reading = false;
   bool m_everRead = false;
+  TimePoint m_nextReadAt;
   TimePoint m_readAt;  ///< Of the last successful read.
 };
 
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -2,11 +2,13 @@
  * @file http_client_test.cpp Tests the limit on connections of the HTTP client.
  */
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include "net/http_client.h"
@@ -195,6 +197,43 @@
   BOOST_TEST(client.Connections() <= 8U);
 }
 
+/** Guards against a call that ends twice, which ended the process, and against
+ *  one that is said not to have been sent although it was: its turn comes while
+ *  the end of its wait is already queued (found by a hunt on a grown
+ * deployment, seed 889060206697). */
+BOOST_AUTO_TEST_CASE(TurnAndEndOfTheWaitMayCoincide) {
+  asio::io_context serverContext;
+  SlowServer server(serverContext, milliseconds(10));
+  std::thread serverThread([&] { serverContext.run(); });
+  asio::io_context context;
+  HttpClient client(context, 1, kMaxAnswer, 1);
+  int firstEnded = 0;
+  int secondEnded = 0;
+  CallStage second = CallStage::CompleteReply;
+  client.Call(server.Address(), Get("/first"), seconds(20),
+              [&](const CallOutcome&) { ++firstEnded; });
+  client.Call(server.Address(), Get("/second"), milliseconds(60),
+              [&](const CallOutcome& aOutcome) {
+                ++secondEnded;
+                second = aOutcome.m_stage;
+              });
+  // The loop is held up, as on a slow VM, until the first reply has arrived and
+  // the wait of the second call is over.
+  asio::steady_timer holdUp(context, milliseconds(5));
+  holdUp.async_wait([](boost::system::error_code) {
+    std::this_thread::sleep_for(milliseconds(150));
+  });
+  context.run_for(seconds(2));
+  BOOST_TEST(firstEnded == 1);
+  BOOST_TEST(secondEnded == 1);
+  asio::post(serverContext, [&] { serverContext.stop(); });
+  serverThread.join();
+  const auto& targets = server.Targets();
+  const bool sent =
+      std::find(targets.begin(), targets.end(), "/second") != targets.end();
+  BOOST_TEST(!(sent && second == CallStage::NotConnected));
+}
+
 /** Guards against an order that is sent after the permission for it has run
  *  out: it may have waited for a connection meanwhile. */
 BOOST_AUTO_TEST_CASE(WithdrawnCallIsNotSent) {
--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -152,7 +152,8 @@
             aVersion, aPath, aPath));
   }
 
-  void AddRunner(const std::string& aName, Duration aTaskTime) {
+  void AddRunner(const std::string& aName, Duration aTaskTime,
+                 const std::string& aRack = "rack1") {
     m_runners.push_back(
         std::make_unique<standin::FakeRunner>(m_platformThreads, aTaskTime));
     const std::string address = AddressText(m_runners.back()->Listen());
@@ -161,8 +162,8 @@
         fmt::format(
             R"({{"service":"pool","address":"{}","zone":"z","version":"v1",)"
             R"("slots":8,"state":"ready","born":1,"capacity":{{"cpu":16000,)"
-            R"("mem_mb":32000}},"labels":["a","rack1"],"sequence":1}})",
-            address));
+            R"("mem_mb":32000}},"labels":["a","{}"],"sequence":1}})",
+            address, aRack));
   }
 
   /** @param aOwnStoreAddress gives the node a store address of its own, so that
--- a/tests/scheduler/scheduler_store_test.cpp
+++ b/tests/scheduler/scheduler_store_test.cpp
@@ -222,6 +222,131 @@
   BOOST_TEST(BecomesCompleted(node, "00000000000000a9"));
 }
 
+/** Guards against jobs that are lost, run twice or cannot be looked up from
+ *  every VM when runners and jobs are divided into several cells with owners on
+ *  several VMs, and when one of these ends. */
+BOOST_AUTO_TEST_CASE(JobsOfManyCellsAreServedByEachNode) {
+  SetCells(4);
+  for (int at = 3; at <= 10; ++at) {
+    AddRunner("r" + std::to_string(at), milliseconds(100),
+              "rack" + std::to_string(at));
+  }
+  RunningNode& first = AddNode("n1");
+  RunningNode& second = AddNode("n2");
+  RunningNode& third = AddNode("n3");
+  std::vector<std::string> jobs;
+  for (int at = 0; at < 12; ++at) {
+    jobs.push_back(fmt::format("{:016x}", 0xc000 + at));
+    BOOST_REQUIRE(
+        SubmitUntilAccepted(at % 2 == 0 ? first : second, jobs.back()));
+  }
+  first.Stop();
+  for (const std::string& job : jobs) {
+    BOOST_TEST(BecomesCompleted(third, job), job);
+  }
+  BOOST_TEST(Call(second, "GET", "/queue/00000000000000b1").m_status == 410);
+  for (const auto& [task, count] : Starts()) BOOST_TEST(count == 1, task);
+}
+
+/** Guards against a job that is sent to a cell without runners and waits there
+ *  for ever: all runners are in one rack, thus in one cell. */
+BOOST_AUTO_TEST_CASE(JobsOfACellWithoutRunnersRunElsewhere) {
+  SetCells(5);
+  RunningNode& node = AddNode("n1");
+  for (int at = 0; at < 8; ++at) {
+    const std::string job = fmt::format("{:016x}", 0xd000 + at);
+    BOOST_REQUIRE(SubmitUntilAccepted(node, job));
+    BOOST_TEST(BecomesCompleted(node, job), job);
+    // Cancelling an ended job is accepted, wherever it is.
+    BOOST_TEST(Call(node, "DELETE", "/queue/" + job).m_status == 200);
+  }
+}
+
+/** Guards against a count of waiting jobs that leaves out those of some cells.
+ */
+BOOST_AUTO_TEST_CASE(PendingJobsOfAllCellsAreCounted) {
+  SetCells(3);
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, kJob));
+  // More cores than any runner has, so that these jobs wait.
+  for (int at = 0; at < 6; ++at) {
+    const std::string job = fmt::format("{:016x}", 0xe000 + at);
+    BOOST_REQUIRE(Eventually([&] {
+      return Call(node, "POST", "/queue/" + job,
+                  R"({"spec":"s","steps":[{"count":1,"cpu":999000,)"
+                  R"("mem_mb":10,"estimate_ms":100}]})")
+                 .m_status == 200;
+    }));
+  }
+  BOOST_TEST(Eventually([&] {
+    return Call(node, "GET", "/queue/").m_body == R"({"pending":6})";
+  }));
+}
+
+/** Guards against two numbers of cells when all VMs start at once, and against
+ *  VMs that wait for ever if the one that counts the runners ends. */
+BOOST_AUTO_TEST_CASE(LayoutIsDeterminedOnce) {
+  m_store.Remove("cell", "layout", "cells");
+  RunningNode& first = AddNode("n1");
+  RunningNode& second = AddNode("n2");
+  BOOST_REQUIRE(SubmitUntilAccepted(first, kJob));
+  BOOST_REQUIRE(SubmitUntilAccepted(second, "00000000000000a2"));
+  const auto layout = DecodeLayoutRow(m_store.Value("cell", "layout", "cells"));
+  BOOST_REQUIRE(layout.has_value());
+  BOOST_TEST(layout.value().m_layout.m_cells == 1U);
+  BOOST_TEST(BecomesCompleted(first, kJob));
+}
+
+/** Guards against a deployment of an earlier build, whose one cell has jobs,
+ * that is divided into cells which don't know them. */
+BOOST_AUTO_TEST_CASE(EarlierDeploymentKeepsItsCell) {
+  m_store.Remove("cell", "layout", "cells");
+  OwnerRow row;
+  row.m_sequence = 1;
+  m_store.Put("cell", "c0", "owner", EncodeOwnerRow(row));
+  for (int at = 3; at <= 40; ++at) {
+    m_store.Put("servers", "", "x" + std::to_string(at), "{}");
+  }
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, kJob));
+  const auto layout = DecodeLayoutRow(m_store.Value("cell", "layout", "cells"));
+  BOOST_REQUIRE(layout.has_value());
+  BOOST_TEST(layout.value().m_layout.m_cells == 1U);
+}
+
+/** Guards against a runner that is used although another program has replaced
+ *  its entry, and against one odd entry that ends the process or hides others:
+ *  as an update of a good entry, and as the first row of the list. */
+BOOST_AUTO_TEST_CASE(OddEntriesHideNoRunner) {
+  const std::string deep(5000, '[');
+  const std::vector<std::string> odd = {
+      deep,
+      R"({"service":"pool","address":"127.0.0.1:65536","zone":"z",)"
+      R"("state":"ready","capacity":{"cpu":99999999999999999999999}})",
+      R"({"service":"pool","address":"127.0.0.1:-1","zone":"z",)"
+      R"("state":"ready","capacity":{"cpu":1e400}})",
+      R"({"service":"pool","address":"127.0.0.1:0","zone":"z",)"
+      R"("state":"ready","capacity":{"cpu":1000}})",
+      std::string(1 << 20, 'x'),
+      std::string("\0\xff", 2)};
+  for (size_t at = 0; at < odd.size(); ++at) {
+    m_store.Put("servers", "", "!" + std::to_string(at) + "& %00", odd[at]);
+  }
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, kJob));
+  BOOST_TEST(BecomesCompleted(node, kJob));
+  for (size_t at = 0; at < odd.size(); ++at) {
+    m_store.Put("servers", "", "r1", odd[at]);
+    const std::string job = fmt::format("{:016x}", 0xf000 + at);
+    BOOST_REQUIRE(SubmitUntilAccepted(node, job));
+    BOOST_TEST(BecomesCompleted(node, job));
+  }
+  const auto before = m_runners[0]->Starts().size();
+  BOOST_REQUIRE(SubmitUntilAccepted(node, "00000000000000aa"));
+  BOOST_TEST(BecomesCompleted(node, "00000000000000aa"));
+  BOOST_TEST(m_runners[0]->Starts().size() == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
