--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -127,7 +127,7 @@
 bronze::Result<size_t> RunnersPerCell(const docopt::value& aOption) {
   constexpr size_t kMax = 100'000;
   if (!aOption) return size_t{0};
-  const std::string text = aOption.asString();
+  const std::string& text = aOption.asString();
   size_t count = 0;
   const auto [end, error] =
       std::from_chars(text.data(), text.data() + text.size(), count);
--- a/tests/core/sched/cell_layout_test.cpp
+++ b/tests/core/sched/cell_layout_test.cpp
@@ -27,8 +27,9 @@
     }
     BOOST_REQUIRE_EQUAL(racks.size(), cells);
     const auto [least, most] = std::minmax_element(
-        racks.begin(), racks.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; });
+        racks.begin(), racks.end(), [](const auto& aLeft, const auto& aRight) {
+          return aLeft.second < aRight.second;
+        });
     BOOST_TEST(least->second * 4 >= most->second * 2, cells);
   }
 }
--- a/tests/core/sched/move_property_test.cpp
+++ b/tests/core/sched/move_property_test.cpp
@@ -180,7 +180,7 @@
         Arrive(aAt, term, move, state);
       });
     }
-    Commit_(aAt);
+    StoreCommit(aAt);
   }
 
   void Arrive(uint32_t aFrom, uint64_t aTerm, const MovingJob& aMove,
@@ -212,7 +212,7 @@
     });
   }
 
-  void Commit_(uint32_t aAt) {
+  void StoreCommit(uint32_t aAt) {
     SimulatedCell& cell = m_cells[aAt];
     if (!HasCommit(cell.m_cell)) return;
     const Commit commit = TakeCommit(cell.m_cell, 4, m_now);
--- a/tests/scheduler/scheduler_store_test.cpp
+++ b/tests/scheduler/scheduler_store_test.cpp
@@ -318,17 +318,19 @@
  *  its entry, and against one odd entry that ends the process or hides others:
  *  as an update of a good entry, and as the first row of the list. */
 BOOST_AUTO_TEST_CASE(OddEntriesHideNoRunner) {
-  const std::string deep(5000, '[');
-  const std::vector<std::string> odd = {
-      deep,
-      R"({"service":"pool","address":"127.0.0.1:65536","zone":"z",)"
-      R"("state":"ready","capacity":{"cpu":99999999999999999999999}})",
-      R"({"service":"pool","address":"127.0.0.1:-1","zone":"z",)"
-      R"("state":"ready","capacity":{"cpu":1e400}})",
-      R"({"service":"pool","address":"127.0.0.1:0","zone":"z",)"
-      R"("state":"ready","capacity":{"cpu":1000}})",
-      std::string(1 << 20, 'x'),
-      std::string("\0\xff", 2)};
+  const auto entry = [](const std::string& aPort, const std::string& aCores) {
+    return fmt::format(
+        R"({{"service":"pool","address":"127.0.0.1:{}","zone":"z",)"
+        R"("state":"ready","capacity":{{"cpu":{}}}}})",
+        aPort, aCores);
+  };
+  std::vector<std::string> odd;
+  odd.emplace_back(5000, '[');
+  odd.emplace_back(1 << 20, 'x');
+  odd.emplace_back("\0\xff", 2);
+  odd.push_back(entry("65536", "99999999999999999999999"));
+  odd.push_back(entry("-1", "1e400"));
+  odd.push_back(entry("0", "1000"));
   for (size_t at = 0; at < odd.size(); ++at) {
     m_store.Put("servers", "", "!" + std::to_string(at) + "& %00", odd[at]);
   }
