sched: a moved job that has begun is not counted as waiting twice

Cause: ForgetJob once served only jobs that were never stored and thus never began. A move calls it for jobs whose first step is done, too; these left the count of waiting jobs when they began, and left it again with the move. Change: only a job that has not begun leaves the count. Result: MovedJobThatHasBegunIsNotCountedTwice fails without it.

--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -324,7 +324,8 @@
       }
     }
   }
-  if (aJob.m_spec.m_maxRuns == 0 && aJob.m_phase == JobPhase::Active) {
+  if (aJob.m_spec.m_maxRuns == 0 && aJob.m_phase == JobPhase::Active &&
+      !aJob.m_anyStarted) {
     auto& pending = aCell.m_pending[aJob.m_spec.m_queue];
     if (pending > 0) --pending;
   }
--- a/tests/core/sched/route_move_test.cpp
+++ b/tests/core/sched/route_move_test.cpp
@@ -168,6 +168,35 @@
   BOOST_TEST(BeginMoves(m_cell, kHome, loads, m_now) == 0U);
 }
 
+/** Guards against a count of waiting jobs that loses one for each job that
+ * moves after its first step: such a job was not counted any more (seen on the
+ * large deployment as 8 instead of 21). */
+BOOST_AUTO_TEST_CASE(MovedJobThatHasBegunIsNotCountedTwice) {
+  const RunnerIndex runner = AddRunner("a", 4000);
+  JobSpec spec = Spec(1);
+  spec.m_steps.push_back(spec.m_steps[0]);
+  spec.m_steps[1].m_after = {0};
+  spec.m_steps[1].m_need.m_cores = Millicores(8000);
+  Submit(spec);
+  const auto starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  Report(runner, {},
+         {{EndNumber(1), starts[0].m_task, RunNumber(1), EndKind::Done, ""}});
+  CommitAll();
+  JobSpec waiting = Spec(2);
+  waiting.m_steps[0].m_need.m_cores = Millicores(8000);
+  Submit(waiting);
+  BOOST_REQUIRE_EQUAL(PendingJobs(m_cell, QueueId("queue")), 1U);
+  AdvanceTime(seconds(1));
+  auto loads = EmptyLoads(2);
+  loads[0].m_short = 2000;
+  BOOST_REQUIRE(BeginMoves(m_cell, kHome, loads, m_now) >= 1U);
+  CommitAll();
+  CompleteMove(m_cell, {JobId(1), CellId(1), 1}, m_now);
+  BOOST_TEST(m_cell.m_jobs.count(JobId(1)) == 0U);
+  BOOST_TEST(PendingJobs(m_cell, QueueId("queue")) == 1U);
+}
+
 /** Guards against a job that is scheduled by both cells after a takeover in the
  *  middle of its move, and against one that is forgotten. */
 BOOST_AUTO_TEST_CASE(MoveContinuesAfterATakeover) {
