scheduler: passing on calls in a file of its own; two comments

What passes callers' requests to the owners of cells is in entry_calls.cpp now, moved unchanged. A comment named a function that does not exist, and one said that only first labels are published.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -139,7 +139,7 @@
   uint64_t m_jobsMoved = 0;      ///< Waiting jobs sent to another cell.
   uint64_t m_jobsAdopted = 0;    ///< Jobs that came from another cell.
   uint64_t m_windowFull = 0;     ///< Passes that the order window ended.
-  uint64_t m_staleListings = 0;  ///< Starts held back, see ListingAge.
+  uint64_t m_staleListings = 0;  ///< Passes with an old list of runners.
 };
 
 /** Permission of the advice service to run a step on one runner. */
--- a/src/core/sched/cell_layout_type.h
+++ b/src/core/sched/cell_layout_type.h
@@ -33,7 +33,7 @@
       0;  ///< Tasks that are neither long-running nor best-effort.
   uint32_t m_bestEffort = 0;
   uint64_t m_cores = 0;  ///< Cores of the usable runners; 0: none.
-  /** First labels of the runners, which name their kinds; sorted. */
+  /** Labels of the runners, sorted: their kinds and racks. */
   std::vector<std::string> m_kinds;
 
   friend bool operator==(const CellLoad&, const CellLoad&) = default;
--- /dev/null
+++ b/src/scheduler/entry_calls.cpp
@@ -0,0 +1,365 @@
+/**
+ * @file entry_calls.cpp Passes the requests of callers to the owners of cells,
+ * along the routes of jobs, and answers them.
+ */
+
+#include <boost/asio/post.hpp>
+
+#include "core/error/error_func.h"
+#include "core/metrics/histogram_func.h"
+#include "core/sched/cell_layout_func.h"
+#include "net/address_func.h"
+#include "scheduler/boot_clock.h"
+#include "scheduler/entry_node.h"
+
+namespace bronze {
+
+namespace {
+
+/** A call is failed this long before the caller's deadline, so that the error
+ *  reaches the caller in time. */
+constexpr Duration kAnswerMargin = milliseconds(150);
+/** Pause before a call goes to another owner than the one that refused it; the
+ *  directory is read again meanwhile. */
+constexpr Duration kRetryPause = milliseconds(130);
+/** A call to an owner that gets no answer within this time is repeated, at its
+ *  successor if there is one by then. */
+constexpr Duration kAttemptTimeout = milliseconds(1300);
+/** A shorter rest of the caller's window is not worth another attempt. */
+constexpr Duration kMinAttempt = milliseconds(150);
+/** Routes that a call follows. A job moves at most four times. */
+constexpr int kMaxHops = 6;
+/** Known routes are forgotten beyond this number; they save one hop each. */
+constexpr size_t kMaxKnownRoutes = 20000;
+/** A count of pending jobs may be this old, of the two seconds that the
+ *  platform allows. */
+constexpr Duration kCountReuse = milliseconds(500);
+constexpr Duration kCountMaxAge = milliseconds(1800);
+/** Sent to refused callers in Retry-After. A takeover of a cell takes a few
+ *  seconds; most callers that retry after this time reach the new owner. */
+constexpr Duration kRetryAfter = seconds(1);
+constexpr char kPeerPath[] = "/peer/call";
+
+std::string_view VerbName(CallerVerb aVerb) {
+  switch (aVerb) {
+    case CallerVerb::Submit:
+      return "submit";
+    case CallerVerb::LookUp:
+      return "lookup";
+    case CallerVerb::Cancel:
+      return "cancel";
+    case CallerVerb::CountPending:
+      return "pending";
+  }
+  return "lookup";
+}
+
+}  // namespace
+
+void EntryNode::HandleCaller(HttpCall aCall, SharedResponder aResponder) {
+  const auto config = Config();
+  auto request = DecodeCallerCall(aCall, *config);
+  if (!request) {
+    aResponder->Reply(RefusalReply(request.error(), kRetryAfter));
+    boost::asio::post(
+        m_context, [this, error = request.error(), target = aCall.m_target] {
+          ++m_answers["refused_" + std::string(AnswerFor(error.m_kind).m_name)];
+          m_log.Write("[callers]", "request refused target={} error={}", target,
+                      error.m_message);
+        });
+    return;
+  }
+  boost::asio::post(m_context, [this, request = std::move(request.value()),
+                                responder = std::move(aResponder)]() mutable {
+    Serve(std::move(request), responder);
+  });
+}
+
+void EntryNode::Serve(CallerRequest aRequest,
+                      const SharedResponder& aResponder) {
+  PeerCall call;
+  call.m_verb = static_cast<PeerVerb>(aRequest.m_verb);
+  call.m_queue = aRequest.m_queue;
+  call.m_window = std::max(aRequest.m_window - kAnswerMargin, kAnswerMargin);
+  call.m_job = aRequest.m_job;
+  call.m_spec = std::move(aRequest.m_spec);
+  ++m_openRequests;
+  ServeCall(std::move(call),
+            [this, request = std::move(aRequest), responder = aResponder,
+             begunAt = BootNow()](PeerAnswer aAnswer) {
+              --m_openRequests;
+              AnswerCaller(request, aAnswer, responder, begunAt);
+            });
+}
+
+void EntryNode::ServeCall(PeerCall aCall, AnswerHandler aHandler) {
+  if (m_layout.m_cells == 0) {
+    PeerAnswer answer;
+    answer.m_error =
+        MakeError(ErrorKind::NotReady, "the cells are not known yet");
+    aHandler(std::move(answer));
+    return;
+  }
+  if (aCall.m_verb == PeerVerb::CountPending) {
+    CountPending(aCall, aHandler);
+    return;
+  }
+  const auto route = m_knownRoutes.find(aCall.m_job);
+  aCall.m_routed = route != m_knownRoutes.end();
+  aCall.m_cell =
+      aCall.m_routed ? route->second : sched::HomeCell(m_layout, aCall.m_job);
+  FollowRoutes(std::move(aCall), std::move(aHandler), kMaxHops);
+}
+
+void EntryNode::FollowRoutes(PeerCall aCall, AnswerHandler aHandler,
+                             int aHopsLeft) {
+  PeerCall sent = aCall;
+  CallOwner(
+      std::move(sent),
+      [this, call = std::move(aCall), handler = std::move(aHandler),
+       begunAt = BootNow(), aHopsLeft](PeerAnswer aAnswer) mutable {
+        if (!aAnswer.m_routedTo) {
+          handler(std::move(aAnswer));
+          return;
+        }
+        if (aHopsLeft == 0 || aAnswer.m_routedTo->Value() >= m_layout.m_cells) {
+          aAnswer.m_error =
+              MakeError(ErrorKind::NotReady, "the job is being moved");
+          handler(std::move(aAnswer));
+          return;
+        }
+        if (m_knownRoutes.size() >= kMaxKnownRoutes) m_knownRoutes.clear();
+        m_knownRoutes[call.m_job] = *aAnswer.m_routedTo;
+        call.m_cell = *aAnswer.m_routedTo;
+        call.m_routed = true;
+        call.m_window = std::max(call.m_window - (BootNow() - begunAt),
+                                 Duration(kAnswerMargin));
+        FollowRoutes(std::move(call), std::move(handler), aHopsLeft - 1);
+      });
+}
+
+void EntryNode::CallOwner(PeerCall aCall, AnswerHandler aHandler) {
+  const CellId cell = aCall.m_cell;
+  if (const auto owner = m_elections[cell.Value()]->LocalOwner()) {
+    owner->Handle(std::move(aCall), std::move(aHandler));
+    return;
+  }
+  const auto address = m_directory.AddressOf(cell);
+  if (!address || *address == AddressText(m_config.m_peerAddress)) {
+    m_directory.Refresh();
+    PeerAnswer answer;
+    answer.m_error =
+        MakeError(ErrorKind::NotReady, "no owner of the cell is known");
+    aHandler(std::move(answer));
+    return;
+  }
+  PeerCall sent = aCall;
+  sent.m_window = std::min(aCall.m_window, Duration(kAttemptTimeout));
+  Forward(
+      *address, std::move(sent),
+      [this, call = std::move(aCall), handler = std::move(aHandler),
+       address = *address, begunAt = BootNow()](PeerAnswer aAnswer) mutable {
+        call.m_window -= BootNow() - begunAt;
+        if (aAnswer.m_error && MayRepeat(call, *aAnswer.m_error)) {
+          RetryAtOwner(std::move(call), address, std::move(aAnswer),
+                       std::move(handler));
+        } else {
+          handler(std::move(aAnswer));
+        }
+      });
+}
+
+bool EntryNode::MayRepeat(const PeerCall& aCall, const Error& aError) {
+  switch (aError.m_kind) {
+    case ErrorKind::NotOwner:
+    case ErrorKind::NotReady:
+      return true;
+    case ErrorKind::OutcomeUnknown:
+      // A job that is submitted or cancelled again under its id is the same,
+      // and what a former owner does after its successor's claim has no effect.
+      return aCall.m_verb != PeerVerb::Adopt && aCall.m_window > kMinAttempt;
+    default:
+      return false;
+  }
+}
+
+void EntryNode::RetryAtOwner(PeerCall aCall, const std::string& aTried,
+                             PeerAnswer aLast, AnswerHandler aHandler) {
+  m_directory.Refresh();
+  auto timer = std::make_shared<boost::asio::steady_timer>(m_context);
+  timer->expires_after(kRetryPause);
+  timer->async_wait([this, timer, call = std::move(aCall), tried = aTried,
+                     last = std::move(aLast), handler = std::move(aHandler)](
+                        boost::system::error_code) mutable {
+    call.m_window -= kRetryPause;
+    if (const auto owner = m_elections[call.m_cell.Value()]->LocalOwner()) {
+      owner->Handle(std::move(call), std::move(handler));
+      return;
+    }
+    const bool unknown = last.m_error->m_kind == ErrorKind::OutcomeUnknown;
+    const auto address = m_directory.AddressOf(call.m_cell);
+    if (address && *address != tried) {
+      CallOwner(std::move(call), std::move(handler));
+    } else if (unknown && call.m_window > kMinAttempt) {
+      // Only an owner can tell whether the change was made.
+      RetryAtOwner(std::move(call), tried, std::move(last), std::move(handler));
+    } else {
+      handler(std::move(last));
+    }
+  });
+}
+
+namespace {
+
+/** Answers of the cells to one request for a count. */
+struct CountGathering {
+  size_t m_left = 0;
+  uint64_t m_sum = 0;
+  std::optional<Error> m_error;
+};
+
+}  // namespace
+
+void EntryNode::CountPending(const PeerCall& aCall,
+                             const AnswerHandler& aHandler) {
+  const auto gathering = std::make_shared<CountGathering>();
+  gathering->m_left = m_layout.m_cells;
+  const auto add = [gathering, aHandler](uint64_t aCount,
+                                         std::optional<Error> aError) {
+    gathering->m_sum += aCount;
+    if (aError) gathering->m_error = std::move(aError);
+    if (--gathering->m_left > 0) return;
+    PeerAnswer answer;
+    answer.m_count = gathering->m_sum;
+    answer.m_error = gathering->m_error;
+    aHandler(std::move(answer));
+  };
+  const TimePoint now = BootNow();
+  for (uint32_t cell = 0; cell < m_layout.m_cells; ++cell) {
+    const auto key = std::pair(aCall.m_queue, CellId(cell));
+    const auto known = m_counts.find(key);
+    if (known != m_counts.end() && now - known->second.m_at < kCountReuse) {
+      add(known->second.m_count, {});
+      continue;
+    }
+    PeerCall call = aCall;
+    call.m_cell = CellId(cell);
+    CallOwner(
+        std::move(call), [this, key, add, now](const PeerAnswer& aAnswer) {
+          if (!aAnswer.m_error) {
+            m_counts[key] = {aAnswer.m_count, now};
+            add(aAnswer.m_count, {});
+            return;
+          }
+          const auto last = m_counts.find(key);
+          const bool recent = last != m_counts.end() &&
+                              BootNow() - last->second.m_at < kCountMaxAge;
+          add(recent ? last->second.m_count : 0,
+              recent ? std::optional<Error>() : aAnswer.m_error);
+        });
+  }
+}
+
+void EntryNode::Forward(const std::string& aAddress, PeerCall aCall,
+                        AnswerHandler aHandler) {
+  const auto address = ParseAddress(aAddress);
+  if (!address) {
+    PeerAnswer answer;
+    answer.m_error = address.error();
+    aHandler(std::move(answer));
+    return;
+  }
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_target = kPeerPath;
+  call.m_headers = {{"Content-Type", "application/cbor"}};
+  call.m_body = EncodePeerCall(aCall);
+  m_peers.Call(
+      address.value(), call, aCall.m_window,
+      [handler = std::move(aHandler)](CallOutcome aOutcome) {
+        PeerAnswer answer;
+        if (aOutcome.m_stage == CallStage::NotConnected) {
+          // Nothing was sent, so nothing was accepted.
+          answer.m_error = MakeError(ErrorKind::NotReady,
+                                     "cannot connect to the owner of the cell");
+        } else if (aOutcome.m_stage != CallStage::CompleteReply) {
+          answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
+                                     "the owner of the cell did not answer");
+        } else {
+          auto decoded = DecodePeerAnswer(aOutcome.m_reply.m_body);
+          if (decoded) {
+            answer = std::move(decoded.value());
+          } else {
+            answer.m_error = decoded.error();
+          }
+        }
+        handler(std::move(answer));
+      });
+}
+
+void EntryNode::AnswerCaller(const CallerRequest& aRequest,
+                             const PeerAnswer& aAnswer,
+                             const SharedResponder& aResponder,
+                             TimePoint aBegunAt) {
+  Record(m_answerTimes, BootNow() - aBegunAt);
+  const std::string_view verb = VerbName(aRequest.m_verb);
+  if (aAnswer.m_error) {
+    const auto name = AnswerFor(aAnswer.m_error->m_kind).m_name;
+    ++m_answers[fmt::format("{}_{}", verb, name)];
+    m_log.Write("[callers]", "{} job={:016x} queue={} error={} text={}", verb,
+                aRequest.m_job.Value(), aRequest.m_queue.Value(), name,
+                aAnswer.m_error->m_message);
+    aResponder->Reply(RefusalReply(*aAnswer.m_error, kRetryAfter));
+    m_log.Flush();
+    return;
+  }
+  ++m_answers[fmt::format("{}_ok", verb)];
+  switch (aRequest.m_verb) {
+    case CallerVerb::Submit:
+      m_log.Write("[callers]", "accepted job={:016x} queue={}",
+                  aRequest.m_job.Value(), aRequest.m_queue.Value());
+      aResponder->Reply(AcceptedReply());
+      break;
+    case CallerVerb::Cancel:
+      aResponder->Reply(AcceptedReply());
+      break;
+    case CallerVerb::LookUp:
+      aResponder->Reply(StateReply(aAnswer.m_state));
+      break;
+    case CallerVerb::CountPending:
+      aResponder->Reply(PendingReply(aAnswer.m_count));
+      break;
+  }
+}
+
+void EntryNode::HandlePeer(HttpCall aCall, SharedResponder aResponder) {
+  auto call = DecodePeerCall(aCall.m_body);
+  if (!call || aCall.m_target != kPeerPath) {
+    aResponder->Reply(
+        RefusalReply(MakeError(ErrorKind::BadRequest, "not a valid peer call"),
+                     kRetryAfter));
+    return;
+  }
+  boost::asio::post(m_context, [this, call = std::move(call.value()),
+                                responder = std::move(aResponder)]() mutable {
+    const auto answerer = [responder](const PeerAnswer& aAnswer) {
+      HttpReply reply;
+      reply.m_contentType = "application/cbor";
+      reply.m_body = EncodePeerAnswer(aAnswer);
+      responder->Reply(std::move(reply));
+    };
+    const uint32_t cell = call.m_cell.Value();
+    const auto owner =
+        cell < m_elections.size() ? m_elections[cell]->LocalOwner() : nullptr;
+    if (!owner) {
+      PeerAnswer answer;
+      answer.m_error =
+          MakeError(ErrorKind::NotOwner, "this daemon does not own the cell");
+      answerer(answer);
+      return;
+    }
+    owner->Handle(std::move(call), answerer);
+  });
+}
+
+}  // namespace bronze
