--- a/review/standin/standin.hh
+++ b/review/standin/standin.hh
@@ -144,6 +144,7 @@
   int64_t m_cpu = 0;
   int64_t m_memory = 0;
   bool m_saves = false;  ///< It makes checkpoints.
+  bool m_lasts = false;  ///< It ends only by a stop or with its lease.
 };
 
 /** One start of a task that a runner has carried out. */
@@ -195,7 +196,8 @@
   void Start();
 
   /** Cut off from the system and the store: it hears nothing, its answers are
-   *  lost, and its entry goes after three heartbeats. */
+   *  lost, and its entry goes after three heartbeats. What was sent meanwhile
+   * on connections from before the cut arrives after it. */
   void SetCut(bool aCut);
   /** Lost for good: its runs end, it says nothing more, and its entry goes
    * after three heartbeats. */
@@ -220,6 +222,7 @@
   asio::awaitable<void> Watch();
   [[nodiscard]] int64_t ClockMs() const;
   void Handle(const Request& aRequest, Respond aRespond);
+  void Execute(const Request& aRequest, const Respond& aRespond);
   void HandleStart(const Json& aBody, const Respond& aRespond);
   void HandleStop(const Json& aBody, const Respond& aRespond);
   void HandleHold(const Json& aBody, const Respond& aRespond);
@@ -241,6 +244,7 @@
   int64_t m_deadline = 0;
   bool m_cut = false;
   int64_t m_cutAt = 0;
+  std::vector<Request> m_held;  ///< Calls that arrive after the cut.
   bool m_listed = false;
   std::map<std::string, std::shared_ptr<Run>> m_running;
   std::map<std::string, uint64_t> m_highest;  ///< Stopped or ended there.
