--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -942,7 +942,7 @@
   m_base = "127." + std::to_string(20 + pid % 200) + "." +
            std::to_string(pid / 200 % 250) + ".";
   const char* folder = getenv("REVIEW_TEMP");
-  m_folder = folder == nullptr ? "/tmp" : folder;
+  m_folder = folder == nullptr ? "." : folder;
   m_bounds = {{"contact_ms", 3000},
               {"ack_ms", 4000},
               {"drain_ms", 2000},
