sched: an owner orders leases only up to a horizon that its successor knows

Cause: the right to start tasks ended with the last heartbeat, the right to extend leases did not. An owner that was suspended extended a lease when it woke up, before it learned of its successor. The successors counted the leases of earlier owners from the moment of their takeover and from stored lease ends, and started the task elsewhere too early.

Ruled out: a guard before the renewals alone. It leaves the time between the check and the sending, and it would end all renewals 1.8 s into an outage of the store. The fencing token does not help, as no successor reaches the runner.

Change: Cell::m_leaseHorizon, moved only by an acknowledged heartbeat, bounds every lease end; OrderDeadline is the only place that raises one. A lease end is an absolute time, so a late or held-up order cannot exceed it. A successor schedules once its own heartbeat is stored and counts with Cell::m_earlierLeasesEnd, which follows from the heartbeat that it replaced. The reach follows from the longest lease in the claimed owner row, so it does not change within a term.

Read beside it: starts (same bound now), stops and acknowledged ends of a former owner (they concern stored state only), settings that lengthen a lease within a term (bounded by the claim's reach), leases of a new instance: the bound was the longest lease, but a late order to the earlier instance gives the runner's maximum; changed. A heartbeat that failed while the rows were loaded was not repeated; it is now.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -32,8 +32,6 @@
   Duration m_lease = seconds(7);
   /** Runners shorten longer leases to this. */
   Duration m_leaseCap = seconds(10);
-  /** Longest lease that an earlier owner may have requested. */
-  Duration m_maxLease = seconds(10);
   /** How long an ended job can be looked up. */
   Duration m_statusRetention = seconds(150);
   /** How long a runner may hold back its answer to a renewal until a run ends,
@@ -196,6 +194,14 @@
   /** Newest durable version of the owner row: higher than all tokens used
    *  before and lower than those of the next owner. */
   FencingToken m_newestFence;
+  /** No lease that this owner orders lasts longer: every order takes its lease
+   *  end from OrderDeadline, which stops here. Only an acknowledged heartbeat
+   *  moves it, so it stands still while this owner cannot know whether it has a
+   *  successor, however long it was suspended. */
+  TimePoint m_leaseHorizon;
+  /** The horizons of all earlier owners have passed by then. Without a report,
+   *  no run that they started counts as ended before. */
+  TimePoint m_earlierLeasesEnd;
   std::unordered_map<JobId, Job> m_jobs;
   /** Never shrinks while the cell has this owner. */
   std::vector<Runner> m_runners;
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -202,7 +202,7 @@
       return;
     case StoredTask::State::Placed:
       Reserve(aCell, aKey, *place.m_step, task,
-              FindOrAddRunner(aCell, aStored.m_runner, aNow));
+              FindOrAddRunner(aCell, aStored.m_runner));
       task.m_phase = TaskPhase::Recovering;
       return;
   }
--- /dev/null
+++ b/src/core/sched/lease_func.h
@@ -0,0 +1,32 @@
+/**
+ * @file lease_func.h How long the leases of runners last, at most and at least.
+ *
+ * An owner cannot take back a lease end that it has ordered, and its successor
+ * cannot ask for it. So every owner orders leases only up to a horizon, which
+ * follows from the last heartbeat that the store has acknowledged. A successor
+ * reads that heartbeat and thus knows a time by which all of them have ended.
+ */
+
+#ifndef BRONZE_CORE_SCHED_LEASE_FUNC_H_
+#define BRONZE_CORE_SCHED_LEASE_FUNC_H_
+
+#include "core/sched/runner_type.h"
+
+namespace bronze::sched {
+
+/** @return the local time by which a lease of that length on the runner's
+ *  clock has ended for certain. */
+[[nodiscard]] Duration LeaseUpperBound(Duration aLease);
+
+/** @return the time from a heartbeat to the horizon of leases that it permits.
+ *  @param aLease length of a full lease. */
+[[nodiscard]] Duration LeaseReach(Duration aLease);
+
+/** @return the latest lease end, on the runner's clock, by which a lease has
+ *  ended for certain at aHorizon. */
+[[nodiscard]] RunnerMillis LatestDeadline(const Runner& aRunner,
+                                          TimePoint aHorizon);
+
+}  // namespace bronze::sched
+
+#endif  // BRONZE_CORE_SCHED_LEASE_FUNC_H_
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 
 #include "core/sched/advice_cmd.h"
+#include "core/sched/lease_func.h"
 #include "core/sched/order_window_func.h"
 #include "core/sched/runner_internal.h"
 #include "core/sched/task_internal.h"
@@ -19,11 +20,8 @@
 
 namespace {
 
-/** By the protocol, a runner's clock may be up to 2 % slow. */
-constexpr int64_t kSlowestClockPercent = 102;
-/** Added to a lease end for the transmission time of the answer that gave the
- *  clock. */
-constexpr Duration kLeaseMargin = milliseconds(300);
+/** A lease that ends within this time is renewed more often. */
+constexpr Duration kShortLease = milliseconds(2500);
 /** Pause before an unanswered renewal is repeated. */
 constexpr Duration kRenewalRetry = milliseconds(150);
 /** The same for a runner without tasks, which is less urgent. */
@@ -97,20 +95,19 @@
 
 }  // namespace
 
-Duration LeaseUpperBound(Duration aLease) {
-  return aLease * kSlowestClockPercent / 100 + kLeaseMargin;
+void BeginTerm(Cell& aCell, TimePoint aEarlierLeasesEnd) {
+  aCell.m_earlierLeasesEnd = aEarlierLeasesEnd;
+  for (Runner& runner : aCell.m_runners) runner.m_lapsesAt = aEarlierLeasesEnd;
 }
 
-RunnerIndex FindOrAddRunner(Cell& aCell, const RunnerId& aRunner,
-                            TimePoint aNow) {
+RunnerIndex FindOrAddRunner(Cell& aCell, const RunnerId& aRunner) {
   const auto found = aCell.m_runnerByName.find(aRunner);
   if (found != aCell.m_runnerByName.end()) return found->second;
   const RunnerIndex index(static_cast<uint32_t>(aCell.m_runners.size()));
   Runner& runner = aCell.m_runners.emplace_back();
   runner.m_entry.m_id = aRunner;
   runner.m_fence = aCell.m_fence;
-  // An earlier owner may have renewed the lease until now.
-  runner.m_lapsesAt = aNow + LeaseUpperBound(aCell.m_settings.m_maxLease);
+  runner.m_lapsesAt = aCell.m_earlierLeasesEnd;
   aCell.m_runnerByName.emplace(aRunner, index);
   return index;
 }
@@ -136,7 +133,7 @@
         task.m_phaseSince = aNow;
         aRunner.m_lapsesAt =
             std::max(aRunner.m_lapsesAt,
-                     aNow + LeaseUpperBound(aCell.m_settings.m_maxLease));
+                     aNow + LeaseUpperBound(aCell.m_settings.m_leaseCap));
         break;
       case TaskPhase::Stopping:
         task.m_stopAnswered = true;
@@ -187,7 +184,7 @@
 
 RunnerIndex UpdateRunner(Cell& aCell, const RunnerEntry& aEntry,
                          TimePoint aNow) {
-  const RunnerIndex index = FindOrAddRunner(aCell, aEntry.m_id, aNow);
+  const RunnerIndex index = FindOrAddRunner(aCell, aEntry.m_id);
   Runner& runner = aCell.m_runners[index.Value()];
   const bool newInstance = runner.m_entry.m_startedAt.Value() != 0 &&
                            aEntry.m_startedAt > runner.m_entry.m_startedAt;
@@ -212,21 +209,18 @@
   return aRunner.m_clock + RunnerMillis(WholeMillis(aNow - aRunner.m_clockAt));
 }
 
-void NoteDeadline(Runner& aRunner, RunnerMillis aDeadline) {
-  if (aDeadline <= aRunner.m_lastDeadline) return;
-  aRunner.m_lastDeadline = aDeadline;
-  const int64_t left = (aDeadline - aRunner.m_clock).Value();
-  aRunner.m_lapsesAt =
-      std::max(aRunner.m_lapsesAt,
-               aRunner.m_clockAt + LeaseUpperBound(milliseconds(left)));
-}
-
 RunnerMillis OrderDeadline(Cell& aCell, Runner& aRunner, TimePoint aNow) {
   if (aRunner.m_lapseStored) return aRunner.m_lastDeadline;
+  const RunnerMillis full = RunnerClockAt(aRunner, aNow) +
+                            RunnerMillis(WholeMillis(aCell.m_settings.m_lease));
   const RunnerMillis deadline =
-      RunnerClockAt(aRunner, aNow) +
-      RunnerMillis(WholeMillis(aCell.m_settings.m_lease));
-  NoteDeadline(aRunner, deadline);
+      std::min(full, LatestDeadline(aRunner, aCell.m_leaseHorizon));
+  if (deadline <= aRunner.m_lastDeadline) return aRunner.m_lastDeadline;
+  aRunner.m_lastDeadline = deadline;
+  const int64_t left = (deadline - aRunner.m_clock).Value();
+  aRunner.m_lapsesAt =
+      std::max(aRunner.m_lapsesAt,
+               aRunner.m_clockAt + LeaseUpperBound(milliseconds(left)));
   return deadline;
 }
 
@@ -287,6 +281,14 @@
                   place.m_task->m_phase == TaskPhase::Recovering);
         });
     const bool idle = runner.m_tasks.empty() && !runner.m_hasUnknownRuns;
+    // Once heartbeats succeed again, such a lease has to be extended soon.
+    const bool endsSoon =
+        order.m_deadline <
+        RunnerClockAt(runner, aNow) + RunnerMillis(WholeMillis(kShortLease));
+    if (endsSoon) {
+      order.m_wait =
+          std::min(order.m_wait, aCell.m_settings.m_monitoredRenewalWait);
+    }
     if (needsListSoon || idle || runner.m_missedRenewals > 0) {
       order.m_wait = Duration::zero();
     }
--- a/src/core/sched/runner_cmd.h
+++ b/src/core/sched/runner_cmd.h
@@ -38,6 +38,10 @@
   Unknown,        ///< No answer: the order may still be executed.
 };
 
+/** Begins the term of an owner whose cell was restored from its rows.
+ *  @param aEarlierLeasesEnd becomes Cell::m_earlierLeasesEnd. */
+void BeginTerm(Cell& aCell, TimePoint aEarlierLeasesEnd);
+
 /** Adds or updates a runner. @return its index. */
 RunnerIndex UpdateRunner(Cell& aCell, const RunnerEntry& aEntry,
                          TimePoint aNow);
@@ -47,8 +51,7 @@
 
 /** @return the index of the runner, which is added without an address if it is
  *  unknown. */
-RunnerIndex FindOrAddRunner(Cell& aCell, const RunnerId& aRunner,
-                            TimePoint aNow);
+RunnerIndex FindOrAddRunner(Cell& aCell, const RunnerId& aRunner);
 
 /** @return the renewal that is due now, if any; it counts as pending. */
 [[nodiscard]] std::optional<RenewalOrder> NextRenewal(Cell& aCell,
@@ -58,7 +61,8 @@
 /** Estimates the runner's current clock from its last answer. */
 [[nodiscard]] RunnerMillis RunnerClockAt(const Runner& aRunner, TimePoint aNow);
 
-/** @return the lease end to order now; it is recorded as possibly in force. */
+/** @return the lease end to order now, within Cell::m_leaseHorizon; it is
+ *          recorded as possibly in force. */
 RunnerMillis OrderDeadline(Cell& aCell, Runner& aRunner, TimePoint aNow);
 
 /** @param aSentAt when the renewal was sent; task states that changed later
--- a/src/core/sched/runner_internal.h
+++ b/src/core/sched/runner_internal.h
@@ -19,16 +19,9 @@
  *  ended, and the new instance refuses orders addressed to the old one. */
 void EndInstance(Cell& aCell, Runner& aRunner, TimePoint aNow);
 
-/** Records a lease end that may come into force. */
-void NoteDeadline(Runner& aRunner, RunnerMillis aDeadline);
-
 /** Records that the runner has confirmed the current run of the task. */
 void ConfirmRun(Cell& aCell, const TaskPlace& aPlace, TimePoint aNow);
 
-/** @return the local time by which a lease of that length on the runner's
- *  clock has ended for certain. */
-[[nodiscard]] Duration LeaseUpperBound(Duration aLease);
-
 }  // namespace bronze::sched
 
 #endif  // BRONZE_CORE_SCHED_RUNNER_INTERNAL_H_
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "core/sched/lease_func.h"
 #include "core/sched/pacing_func.h"
 #include "core/sched/runner_cmd.h"
 #include "core/sched/runner_internal.h"
--- a/src/core/sched/unresponsive_runner_cmd.h
+++ b/src/core/sched/unresponsive_runner_cmd.h
@@ -36,9 +36,8 @@
 void ApplyStoredUnresponsive(Cell& aCell,
                              const std::vector<UnresponsiveRunner>& aStored);
 
-/** Restores an entry that an earlier owner stored, at a takeover. */
-void RestoreUnresponsiveRunner(Cell& aCell, const UnresponsiveRunner& aStored,
-                               TimePoint aNow);
+/** Restores an entry that an earlier owner stored, after BeginTerm. */
+void RestoreUnresponsiveRunner(Cell& aCell, const UnresponsiveRunner& aStored);
 
 }  // namespace bronze::sched
 
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -9,6 +9,7 @@
 
 #include "core/sched/interference_func.h"
 #include "core/sched/job_cmd.h"
+#include "core/sched/lease_func.h"
 #include "core/sched/move_cmd.h"
 #include "core/sched/route_cmd.h"
 #include "core/sched/runner_cmd.h"
@@ -54,14 +55,10 @@
       m_tickTimer(aContext),
       m_commitTimer(aContext),
       m_heartbeatVersion(aTerm.m_heartbeatVersion),
+      m_leaseReach(sched::LeaseReach(m_ownerRow.m_longestLease)),
+      m_earlierHeartbeatsEnd(aTerm.m_heartbeatReadAt),
       m_loads(aTerm.m_layout.m_cells) {
-  OwnerSettings settings = aSettings;
-  m_cell.m_settings = settings.m_cell;
-  if (m_ownerRow.m_longestLease > Duration::zero()) {
-    m_cell.m_settings.m_maxLease =
-        std::min(settings.m_cell.m_maxLease, m_ownerRow.m_longestLease);
-  }
-  SetSettings(settings);
+  SetSettings(aSettings);
   m_cell.m_fence = FencingToken(m_ownerVersion.Value());
   m_lastCommitSentAt = BootNow();
 }
@@ -75,13 +72,7 @@
 }
 
 void CellOwner::SetSettings(const OwnerSettings& aSettings) {
-  // The longest lease that earlier owners may have granted does not depend on
-  // the settings of this owner.
-  const Duration earlierLease = m_cell.m_settings.m_maxLease;
   m_cell.m_settings = aSettings.m_cell;
-  m_cell.m_settings.m_maxLease = earlierLease;
-  m_ownerRow.m_longestLease =
-      std::max(m_ownerRow.m_longestLease, aSettings.m_cell.m_lease);
   m_maxListingAge = aSettings.m_maxListingAge;
 }
 
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -73,6 +73,7 @@
   OwnerRow m_row;
   RowVersion m_version;           ///< Of m_row in the store.
   RowVersion m_heartbeatVersion;  ///< Of the heartbeat row, as last read.
+  TimePoint m_heartbeatReadAt;    ///< When that version was first read.
 };
 
 class CellOwner : public std::enable_shared_from_this<CellOwner> {
@@ -129,7 +130,8 @@
   void OnStates(RowsResult aResult);
   void OnJobs(RowsResult aResult);
   void RestoreUnresponsive();
-  void BeginScheduling();
+  /** Begins once the rows are loaded and a heartbeat is acknowledged. */
+  void BeginWhenReady();
   void OnRunnerRow(const StoreRow& aRow);
   void OnRunnerRemoved(const std::string& aKey);
 
@@ -197,6 +199,8 @@
   // cell_owner_heartbeat.cpp
   void SendHeartbeat(TimePoint aNow);
   void OnHeartbeat(TimePoint aSentAt, const TransactionResult& aResult);
+  /** Sends it again later; before scheduling begins, no tick does. */
+  void RepeatFirstHeartbeat();
   /** Another try was stored, or an earlier owner's late one. @return whether
    *  this owner may go on from the row. */
   bool AdoptHeartbeat(const TransactionResult& aResult);
@@ -224,7 +228,8 @@
   sched::Cell m_cell;
   std::map<JobId, sched::StoredState> m_loadedStates;  ///< While loading.
   size_t m_loadedJobs = 0;
-  bool m_loaded = false;
+  bool m_rowsLoaded = false;
+  bool m_loaded = false;  ///< The rows are loaded, and scheduling has begun.
   bool m_ended = false;
   bool m_passRequested = false;
   TimePoint m_tickDueAt;
@@ -250,6 +255,13 @@
   TimePoint m_nextHeartbeatAt;
   /** When the last acknowledged heartbeat was sent; zero: none was. */
   TimePoint m_authorityFrom;
+  /** Time from a heartbeat to the horizon of leases that it permits. It follows
+   *  from the longest lease in the owner row as claimed, so that a successor
+   *  knows it whatever settings this owner gets. */
+  Duration m_leaseReach;
+  /** No earlier owner sent a heartbeat later than this that the store holds:
+   *  one of this owner replaces the last version that was read then. */
+  TimePoint m_earlierHeartbeatsEnd;
   bool m_authorityLapsed = false;  ///< The loss of authority was logged.
 
   std::vector<sched::CellLoad> m_loads;  ///< By cell.
--- a/src/scheduler/cell_owner_heartbeat.cpp
+++ b/src/scheduler/cell_owner_heartbeat.cpp
@@ -4,7 +4,8 @@
  *
  * A heartbeat expects the version of the one before, so that a former owner
  * that was paused cannot replace the heartbeat of its successor. The term in
- * the row tells the two apart.
+ * the row tells the two apart. Each acknowledged heartbeat also moves the
+ * horizon up to which this owner extends leases.
  */
 
 #include "core/sched/route_cmd.h"
@@ -68,17 +69,18 @@
     case StoreOutcome::Done:
       m_heartbeatVersion = aResult.m_version;
       m_authorityFrom = aSentAt;
+      m_cell.m_leaseHorizon = aSentAt + m_leaseReach;
       if (m_authorityLapsed) {
         m_authorityLapsed = false;
         m_log.Write("[store]", "heartbeats succeed again cell={}",
                     m_cellId.Value());
         RequestPass();
       }
+      BeginWhenReady();
       return;
     case StoreOutcome::Conflict:
       if (!AdoptHeartbeat(aResult)) return;
       m_nextHeartbeatAt = now;
-      // Loading has no tick that would repeat it.
       if (!m_loaded) SendHeartbeat(now);
       return;
     case StoreOutcome::Refused:
@@ -86,10 +88,21 @@
     case StoreOutcome::Malformed:
     case StoreOutcome::HistoryLost:
       m_nextHeartbeatAt = now + kRetryPause;
+      if (!m_loaded) RepeatFirstHeartbeat();
       return;
   }
 }
 
+void CellOwner::RepeatFirstHeartbeat() {
+  m_tickTimer.expires_after(kRetryPause);
+  m_tickTimer.async_wait(
+      [self = shared_from_this()](boost::system::error_code aError) {
+        if (aError || self->m_loaded) return;
+        self->m_nextHeartbeatAt = BootNow();
+        self->SendHeartbeat(self->m_nextHeartbeatAt);
+      });
+}
+
 bool CellOwner::AdoptHeartbeat(const TransactionResult& aResult) {
   m_heartbeatVersion = RowVersion();
   for (const StoreRow& row : aResult.m_current) {
@@ -100,6 +113,9 @@
       return false;
     }
     m_heartbeatVersion = row.m_version;
+    const bool isEarlier =
+        !heartbeat || heartbeat.value().m_term < m_cell.m_fence;
+    if (isEarlier) m_earlierHeartbeatsEnd = BootNow();
   }
   return true;
 }
--- a/src/scheduler/cell_owner_load.cpp
+++ b/src/scheduler/cell_owner_load.cpp
@@ -116,15 +116,16 @@
                       UnixNow());
     ++m_loadedJobs;
   }
-  if (!aResult.m_truncated) BeginScheduling();
+  if (aResult.m_truncated) return;
+  m_rowsLoaded = true;
+  BeginWhenReady();
 }
 
 void CellOwner::RestoreUnresponsive() {
   for (const UnresponsiveRunnerRow& row : m_ownerRow.m_unresponsive) {
     const auto lapsesAt = m_store.LocalTimeUpperBound(row.m_lapsesAt);
     if (!lapsesAt) continue;
-    sched::RestoreUnresponsiveRunner(m_cell, {row.m_runner, *lapsesAt},
-                                     BootNow());
+    sched::RestoreUnresponsiveRunner(m_cell, {row.m_runner, *lapsesAt});
     m_log.Write("[cell]",
                 "unresponsive before takeover runner={} lapses_in_ms={}",
                 row.m_runner.Value(),
@@ -133,9 +134,13 @@
   }
 }
 
-void CellOwner::BeginScheduling() {
-  if (m_onReleased) return;
+void CellOwner::BeginWhenReady() {
+  if (m_loaded || m_onReleased) return;
+  // Before the first heartbeat of this owner is stored, its predecessor may
+  // still store one and extend leases.
+  if (!m_rowsLoaded || m_authorityFrom == TimePoint()) return;
   m_loaded = true;
+  sched::BeginTerm(m_cell, m_earlierHeartbeatsEnd + m_leaseReach);
   RestoreUnresponsive();
   m_loadedStates.clear();
   m_log.Write("[cell]",
--- a/src/scheduler/node_policy.cpp
+++ b/src/scheduler/node_policy.cpp
@@ -46,7 +46,6 @@
 OwnerSettings OwnerSettingsOf(const NodeConfig& aConfig) {
   OwnerSettings settings;
   settings.m_cell.m_leaseCap = aConfig.m_maxLease;
-  settings.m_cell.m_maxLease = aConfig.m_maxLease;
   settings.m_cell.m_lease = aConfig.m_maxLease * kLeasePercent / 100;
   settings.m_cell.m_spreadFactor = aConfig.m_spreadFactor;
   settings.m_cell.m_statusRetention =
--- a/src/scheduler/owner_election.cpp
+++ b/src/scheduler/owner_election.cpp
@@ -165,9 +165,15 @@
 
 void OwnerElection::Claim() {
   const OwnerRow& last = m_seen->m_row;
+  const sched::CellSettings& cell = m_settings.m_cell;
+  // A row without a longest lease is that of an earlier build.
+  const bool unknownLease =
+      m_seen->m_version.Value() > 0 && last.m_longestLease == Duration::zero();
+  const Duration longestLease = std::max(
+      last.m_longestLease, unknownLease ? cell.m_leaseCap : cell.m_lease);
   OwnerRow row{m_identity.m_vm.Value(),  m_identity.m_incarnation,
                m_identity.m_peerAddress, last.m_sequence + 1,
-               m_identity.m_cpuShare,    last.m_longestLease,
+               m_identity.m_cpuShare,    longestLease,
                last.m_unresponsive};
   const RowKey key{kOwnerTable, PartOf(m_cell), kOwnerKey};
   StoreTransaction claim;
@@ -221,7 +227,8 @@
   m_owner =
       std::make_shared<CellOwner>(m_context, m_links, m_log,
                                   OwnerTerm{m_cell, m_layout, aRow, aVersion,
-                                            m_directory.Of(m_cell).m_version},
+                                            m_directory.Of(m_cell).m_version,
+                                            m_directory.Of(m_cell).m_changedAt},
                                   m_settings, [weak = weak_from_this()] {
                                     const auto self = weak.lock();
                                     if (!self) return;
--- a/tests/core/sched/cell_fixture.h
+++ b/tests/core/sched/cell_fixture.h
@@ -17,7 +17,18 @@
 namespace bronze::sched {
 
 struct CellFixture {
-  CellFixture() { m_cell.m_fence = FencingToken(7); }
+  /** Time from a heartbeat to the end of all leases that it permits. */
+  static constexpr Duration kEarlierLeases = milliseconds(10500);
+
+  CellFixture() {
+    m_cell.m_fence = FencingToken(7);
+    AcknowledgeHeartbeat();
+  }
+
+  /** A heartbeat that was sent now is stored. */
+  void AcknowledgeHeartbeat() {
+    m_cell.m_leaseHorizon = m_now + kEarlierLeases;
+  }
 
   /** Adds a runner that is listed and has answered. */
   RunnerIndex AddRunner(const std::string& aName, int64_t aCores = 64000,
@@ -105,9 +116,11 @@
     for (const auto& [id, spec] : m_specs) {
       RestoreJob(m_cell, spec, m_states.at(id), m_now, m_unixNow);
     }
+    BeginTerm(m_cell, m_now + kEarlierLeases);
     for (const UnresponsiveRunner& unresponsive : m_unresponsive) {
-      RestoreUnresponsiveRunner(m_cell, unresponsive, m_now);
+      RestoreUnresponsiveRunner(m_cell, unresponsive);
     }
+    AcknowledgeHeartbeat();
   }
 
   void AdvanceTime(Duration aTime) {
--- a/tests/core/sched/cell_simulation.cpp
+++ b/tests/core/sched/cell_simulation.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 
+#include "core/sched/lease_func.h"
+
 namespace bronze::sched {
 
 namespace {
@@ -177,14 +179,18 @@
   const auto owner = std::make_shared<SimulatedOwner>();
   owner->m_rowVersion = ++m_version;
   owner->m_cell.m_fence = FencingToken(m_version);
-  owner->m_cell.m_settings.m_maxLease = seconds(10);
   owner->m_lastCommitSentAt = m_now;
+  const Duration reach = LeaseReach(owner->m_cell.m_settings.m_lease);
+  const TimePoint earlierLeasesEnd =
+      m_owners.empty() ? m_now : m_rowChangedAt + reach;
+  owner->m_cell.m_leaseHorizon = m_now + reach;
   m_rowChangedAt = m_now;
   for (const auto& [id, spec] : m_specs) {
     RestoreJob(owner->m_cell, spec, m_states.at(id), m_now, m_unixNow);
   }
+  BeginTerm(owner->m_cell, earlierLeasesEnd);
   for (const UnresponsiveRunner& unresponsive : m_unresponsive) {
-    RestoreUnresponsiveRunner(owner->m_cell, unresponsive, m_now);
+    RestoreUnresponsiveRunner(owner->m_cell, unresponsive);
   }
   for (const SimulatedRunner& runner : m_runners) {
     UpdateRunner(owner->m_cell, runner.m_entry, m_now);
@@ -365,6 +371,9 @@
   m_rowChangedAt = m_now;
   Deliver(aOwner, [this, aOwner] {
     aOwner->m_lastCommitSentAt = aOwner->m_commitSentAt;
+    Cell& cell = aOwner->m_cell;
+    cell.m_leaseHorizon =
+        aOwner->m_commitSentAt + LeaseReach(cell.m_settings.m_lease);
     aOwner->m_cell.m_newestFence = FencingToken(aOwner->m_rowVersion);
     ApplyCommitted(aOwner->m_cell, *aOwner->m_commit, m_now);
     aOwner->m_commit.reset();
