scheduler: an attempt that was refused does not settle an earlier one

Cause: a call to the owner of a cell is repeated at its successor, and each attempt replaced the outcome of the one before. The owner had stored the job and ended without an answer; its successor refused the repetition, as it was still loading the cell, and that refusal went to the caller.

Ruled out: a longer wait for the successor alone. It hides the case while the cell loads quickly, and the refusal stays untrue.

Change: CallFate goes with the call through all attempts and routes. Once an attempt may have made the change, FinalError reports an unknown outcome (504) instead of a refusal; EntryNode::Finish is the only place that reports one. Within the caller's time an owner that refuses is asked again then. A call of which no attempt may have made a change is refused as soon as before.

Read beside it, and changed: an owner without authority refused a job that it knew and that a commit under way may store; an answer that cannot be decoded counted as "not run"; routes that lead on and on gave 503 for a job that exists; the answer of a local owner that lost the cell was not repeated. Read without a finding: withdrawn jobs (never sent to the store), calls without a connection, commits that are refused after an unknown try.

--- a/src/scheduler/cell_owner_calls.cpp
+++ b/src/scheduler/cell_owner_calls.cpp
@@ -143,11 +143,13 @@
   const TimePoint now = BootNow();
   // A job that is already known is accepted again even if the last commit
   // failed.
-  const bool isNew = m_cell.m_jobs.count(aCall.m_job) == 0;
+  const auto known = m_cell.m_jobs.find(aCall.m_job);
+  const bool isNew = known == m_cell.m_jobs.end();
   auto refusal = isNew ? RefuseNewJob(aCall, now) : std::optional<Error>();
-  if (!isNew && !HasAuthority(now)) {
-    refusal =
-        MakeError(ErrorKind::StoreUnavailable, "the store is not available");
+  if (!isNew && !known->second.m_specStored && !HasAuthority(now)) {
+    // A commit with this job may be under way or stored already.
+    refusal = MakeError(ErrorKind::OutcomeUnknown,
+                        "the job may be stored; the store is not available");
   }
   if (!refusal) {
     auto when =
--- a/src/scheduler/entry_calls.cpp
+++ b/src/scheduler/entry_calls.cpp
@@ -108,40 +108,31 @@
   aCall.m_routed = route != m_knownRoutes.end();
   aCall.m_cell =
       aCall.m_routed ? route->second : sched::HomeCell(m_layout, aCall.m_job);
-  FollowRoutes(std::move(aCall), std::move(aHandler), kMaxHops);
+  Attempt({std::move(aCall), {}, kMaxHops, std::move(aHandler)});
 }
 
-void EntryNode::FollowRoutes(PeerCall aCall, AnswerHandler aHandler,
-                             int aHopsLeft) {
-  PeerCall sent = aCall;
-  CallOwner(
-      std::move(sent),
-      [this, call = std::move(aCall), handler = std::move(aHandler),
-       begunAt = BootNow(), aHopsLeft](PeerAnswer aAnswer) mutable {
-        if (!aAnswer.m_routedTo) {
-          handler(std::move(aAnswer));
-          return;
-        }
-        if (aHopsLeft == 0 || aAnswer.m_routedTo->Value() >= m_layout.m_cells) {
-          aAnswer.m_error =
-              MakeError(ErrorKind::NotReady, "the job is being moved");
-          handler(std::move(aAnswer));
-          return;
-        }
-        if (m_knownRoutes.size() >= kMaxKnownRoutes) m_knownRoutes.clear();
-        m_knownRoutes[call.m_job] = *aAnswer.m_routedTo;
-        call.m_cell = *aAnswer.m_routedTo;
-        call.m_routed = true;
-        call.m_window = std::max(call.m_window - (BootNow() - begunAt),
-                                 Duration(kAnswerMargin));
-        FollowRoutes(std::move(call), std::move(handler), aHopsLeft - 1);
-      });
+void EntryNode::CallOwner(PeerCall aCall, AnswerHandler aHandler) {
+  Attempt({std::move(aCall), {}, {}, std::move(aHandler)});
 }
 
-void EntryNode::CallOwner(PeerCall aCall, AnswerHandler aHandler) {
-  const CellId cell = aCall.m_cell;
+void EntryNode::Attempt(OwnerCall aCall) {
+  const CellId cell = aCall.m_call.m_cell;
+  const TimePoint begunAt = BootNow();
   if (const auto owner = m_elections[cell.Value()]->LocalOwner()) {
-    owner->Handle(std::move(aCall), std::move(aHandler));
+    PeerCall sent = aCall.m_call;
+    owner->Handle(std::move(sent), [this, call = std::move(aCall),
+                                    begunAt](PeerAnswer aAnswer) mutable {
+      call.m_call.m_window -= BootNow() - begunAt;
+      // This owner cannot accept the call now and is still the owner.
+      const bool refuses = aAnswer.m_error && !call.m_fate.m_mayBeDone &&
+                           aAnswer.m_error->m_kind == ErrorKind::NotReady;
+      if (refuses) {
+        Finish(call, std::move(aAnswer));
+        return;
+      }
+      const std::string tried = AddressText(m_config.m_peerAddress);
+      OnAttempt(std::move(call), tried, std::move(aAnswer));
+    });
     return;
   }
   const auto address = m_directory.AddressOf(cell);
@@ -150,63 +141,124 @@
     PeerAnswer answer;
     answer.m_error =
         MakeError(ErrorKind::NotReady, "no owner of the cell is known");
-    aHandler(std::move(answer));
+    if (aCall.m_fate.m_mayBeDone) {
+      RetryLater(std::move(aCall), "", std::move(answer));
+    } else {
+      Finish(aCall, std::move(answer));
+    }
     return;
   }
-  PeerCall sent = aCall;
-  sent.m_window = std::min(aCall.m_window, Duration(kAttemptTimeout));
-  Forward(
-      *address, std::move(sent),
-      [this, call = std::move(aCall), handler = std::move(aHandler),
-       address = *address, begunAt = BootNow()](PeerAnswer aAnswer) mutable {
-        call.m_window -= BootNow() - begunAt;
-        if (aAnswer.m_error && MayRepeat(call, *aAnswer.m_error)) {
-          RetryAtOwner(std::move(call), address, std::move(aAnswer),
-                       std::move(handler));
-        } else {
-          handler(std::move(aAnswer));
-        }
-      });
+  PeerCall sent = aCall.m_call;
+  sent.m_window = std::min(sent.m_window, Duration(kAttemptTimeout));
+  Forward(*address, std::move(sent),
+          [this, call = std::move(aCall), address = *address,
+           begunAt](PeerAnswer aAnswer) mutable {
+            call.m_call.m_window -= BootNow() - begunAt;
+            OnAttempt(std::move(call), address, std::move(aAnswer));
+          });
+}
+
+void EntryNode::OnAttempt(OwnerCall aCall, const std::string& aTried,
+                          PeerAnswer aAnswer) {
+  if (aAnswer.m_routedTo && aCall.m_hopsLeft) {
+    FollowRoute(std::move(aCall), std::move(aAnswer));
+    return;
+  }
+  if (aAnswer.m_error) {
+    if (ChangesJob(aCall.m_call.m_verb)) {
+      sched::NoteFailedAttempt(aCall.m_fate, *aAnswer.m_error);
+    }
+    if (MayRepeat(aCall, *aAnswer.m_error)) {
+      RetryLater(std::move(aCall), aTried, std::move(aAnswer));
+      return;
+    }
+  }
+  Finish(aCall, std::move(aAnswer));
+}
+
+void EntryNode::FollowRoute(OwnerCall aCall, PeerAnswer aAnswer) {
+  const CellId target = *aAnswer.m_routedTo;
+  if (*aCall.m_hopsLeft == 0 || target.Value() >= m_layout.m_cells) {
+    // Routes lead to it, so the job may well exist.
+    aCall.m_fate.m_mayBeDone = ChangesJob(aCall.m_call.m_verb);
+    aAnswer.m_error = MakeError(ErrorKind::NotReady, "the job is being moved");
+    Finish(aCall, std::move(aAnswer));
+    return;
+  }
+  if (m_knownRoutes.size() >= kMaxKnownRoutes) m_knownRoutes.clear();
+  m_knownRoutes[aCall.m_call.m_job] = target;
+  --*aCall.m_hopsLeft;
+  aCall.m_call.m_cell = target;
+  aCall.m_call.m_routed = true;
+  aCall.m_call.m_window =
+      std::max(aCall.m_call.m_window, Duration(kAnswerMargin));
+  Attempt(std::move(aCall));
 }
 
-bool EntryNode::MayRepeat(const PeerCall& aCall, const Error& aError) {
+void EntryNode::Finish(const OwnerCall& aCall, PeerAnswer aAnswer) {
+  if (aAnswer.m_error) {
+    aAnswer.m_error =
+        sched::FinalError(aCall.m_fate, std::move(*aAnswer.m_error));
+  }
+  aCall.m_handler(std::move(aAnswer));
+}
+
+bool EntryNode::ChangesJob(PeerVerb aVerb) {
+  switch (aVerb) {
+    case PeerVerb::Submit:
+    case PeerVerb::Cancel:
+    case PeerVerb::Adopt:
+      return true;
+    case PeerVerb::LookUp:
+    case PeerVerb::CountPending:
+      return false;
+  }
+  return true;
+}
+
+bool EntryNode::MayRepeat(const OwnerCall& aCall, const Error& aError) {
+  const bool hasTime = aCall.m_call.m_window > kMinAttempt;
   switch (aError.m_kind) {
     case ErrorKind::NotOwner:
     case ErrorKind::NotReady:
       return true;
+    case ErrorKind::StoreUnavailable:
+      // Nothing was done by this attempt. Only an owner that reaches the store
+      // can tell what became of the earlier ones.
+      return aCall.m_fate.m_mayBeDone && hasTime;
     case ErrorKind::OutcomeUnknown:
       // A job that is submitted or cancelled again under its id is the same,
       // and what a former owner does after its successor's claim has no effect.
-      return aCall.m_verb != PeerVerb::Adopt && aCall.m_window > kMinAttempt;
+      return aCall.m_call.m_verb != PeerVerb::Adopt && hasTime;
     default:
       return false;
   }
 }
 
-void EntryNode::RetryAtOwner(PeerCall aCall, const std::string& aTried,
-                             PeerAnswer aLast, AnswerHandler aHandler) {
+void EntryNode::RetryLater(OwnerCall aCall, const std::string& aTried,
+                           PeerAnswer aLast) {
   m_directory.Refresh();
   auto timer = std::make_shared<boost::asio::steady_timer>(m_context);
   timer->expires_after(kRetryPause);
-  timer->async_wait([this, timer, call = std::move(aCall), tried = aTried,
-                     last = std::move(aLast), handler = std::move(aHandler)](
-                        boost::system::error_code) mutable {
-    call.m_window -= kRetryPause;
-    if (const auto owner = m_elections[call.m_cell.Value()]->LocalOwner()) {
-      owner->Handle(std::move(call), std::move(handler));
-      return;
-    }
-    const bool unknown = last.m_error->m_kind == ErrorKind::OutcomeUnknown;
-    const auto address = m_directory.AddressOf(call.m_cell);
-    if (address && *address != tried) {
-      CallOwner(std::move(call), std::move(handler));
-    } else if (unknown && call.m_window > kMinAttempt) {
-      // Only an owner can tell whether the change was made.
-      RetryAtOwner(std::move(call), tried, std::move(last), std::move(handler));
-    } else {
-      handler(std::move(last));
-    }
-  });
+  timer->async_wait(
+      [this, timer, call = std::move(aCall), tried = aTried,
+       last = std::move(aLast)](boost::system::error_code) mutable {
+        call.m_call.m_window -= kRetryPause;
+        const CellId cell = call.m_call.m_cell;
+        const auto address = m_directory.AddressOf(cell);
+        const bool otherOwner = m_elections[cell.Value()]->LocalOwner() ||
+                                (address && *address != tried);
+        const bool answers = last.m_error->m_kind != ErrorKind::OutcomeUnknown;
+        const bool mustKnow = call.m_fate.m_mayBeDone || !answers;
+        const bool hasTime = call.m_call.m_window > kMinAttempt;
+        if (otherOwner || (address && answers && mustKnow && hasTime)) {
+          Attempt(std::move(call));
+        } else if (mustKnow && hasTime) {
+          RetryLater(std::move(call), tried, std::move(last));
+        } else {
+          Finish(call, std::move(last));
+        }
+      });
 }
 
 namespace {
@@ -290,7 +342,8 @@
           if (decoded) {
             answer = std::move(decoded.value());
           } else {
-            answer.m_error = decoded.error();
+            answer.m_error =
+                MakeError(ErrorKind::OutcomeUnknown, decoded.error().m_message);
           }
         }
         handler(std::move(answer));
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "core/metrics/histogram_type.h"
+#include "core/sched/call_fate_func.h"
 #include "net/http_server.h"
 #include "platform/caller_wire.h"
 #include "platform/node_config.h"
@@ -66,6 +67,15 @@
  private:
   using SharedResponder = std::shared_ptr<HttpResponder>;
 
+  /** A call to the owner of a cell; it may take several attempts. */
+  struct OwnerCall {
+    PeerCall m_call;  ///< Its window is the time that is left.
+    sched::CallFate m_fate;
+    /** Routes that may still be followed; not set: none is. */
+    std::optional<int> m_hopsLeft;
+    AnswerHandler m_handler;
+  };
+
   /** Called on the traffic thread. */
   void OnConfigRow(const StoreRow& aRow);
   void ApplyConfig(std::shared_ptr<const sched::LiveConfig> aConfig);
@@ -74,15 +84,25 @@
   void Serve(CallerRequest aRequest, const SharedResponder& aResponder);
   /** Passes the call to the job's cell, along its routes. */
   void ServeCall(PeerCall aCall, AnswerHandler aHandler);
-  void FollowRoutes(PeerCall aCall, AnswerHandler aHandler, int aHopsLeft);
-  /** Passes the call to the owner of its cell. */
+  /** Passes the call to the owner of its cell; follows no route. */
   void CallOwner(PeerCall aCall, AnswerHandler aHandler);
+  /** Calls the owner of the cell, in this process or on another VM. */
+  void Attempt(OwnerCall aCall);
+  /** @param aTried address of the owner that was called. */
+  void OnAttempt(OwnerCall aCall, const std::string& aTried,
+                 PeerAnswer aAnswer);
+  /** Calls the owner of the cell that the answer names. */
+  void FollowRoute(OwnerCall aCall, PeerAnswer aAnswer);
+  /** Whether the call asks for a change of a job. */
+  [[nodiscard]] static bool ChangesJob(PeerVerb aVerb);
   /** Whether the call may be made again after the error. */
-  [[nodiscard]] static bool MayRepeat(const PeerCall& aCall,
+  [[nodiscard]] static bool MayRepeat(const OwnerCall& aCall,
                                       const Error& aError);
-  /** Calls the cell's new owner, once there is one and if there is time. */
-  void RetryAtOwner(PeerCall aCall, const std::string& aTried, PeerAnswer aLast,
-                    AnswerHandler aHandler);
+  /** Makes another attempt once there may be an owner that can answer, or
+   *  reports the last error when the time is over. */
+  void RetryLater(OwnerCall aCall, const std::string& aTried, PeerAnswer aLast);
+  /** Reports the answer; the only place that calls the handler of aCall. */
+  static void Finish(const OwnerCall& aCall, PeerAnswer aAnswer);
   /** Adds up the counts of all cells. */
   void CountPending(const PeerCall& aCall, const AnswerHandler& aHandler);
   void Forward(const std::string& aAddress, PeerCall aCall,
--- /dev/null
+++ b/tests/scheduler/entry_calls_test.cpp
@@ -0,0 +1,123 @@
+/**
+ * @file entry_calls_test.cpp Tests what an entry node answers its callers while
+ * the owner of the cell is another daemon, which this test plays.
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "codec/peer_call_cbor.h"
+#include "node_fixture.h"
+#include "scheduler/boot_clock.h"
+
+namespace bronze {
+
+namespace {
+
+/** A daemon that others believe to own cell 0. */
+class PlayedOwner {
+ public:
+  using Script = std::function<void(const std::shared_ptr<HttpResponder>&)>;
+
+  PlayedOwner(ThreadPool& aThreads, Counters& aCounters, Script aScript)
+      : m_script(std::move(aScript)),
+        m_server(aThreads, HttpLimits(), aCounters,
+                 [this](size_t, const HttpCall&, auto aResponder) {
+                   ++m_calls;
+                   m_script(aResponder);
+                 }) {
+    m_address = AddressText(
+        m_server.Listen({boost::asio::ip::address_v4::loopback(), 0}).value());
+  }
+
+  /** Writes the heartbeat of its term. */
+  void Beat(standin::RowStore& aStore, uint64_t aTerm) {
+    HeartbeatRow row;
+    row.m_vm = "played-" + std::to_string(aTerm);
+    row.m_incarnation = 1;
+    row.m_address = m_address;
+    row.m_sequence = ++m_sequence;
+    row.m_cpuShare = 1.0;
+    row.m_term = FencingToken(aTerm);
+    aStore.Put("beat", "", "0", EncodeHeartbeatRow(row));
+  }
+
+  [[nodiscard]] int Calls() const { return m_calls; }
+
+ private:
+  Script m_script;
+  std::atomic<int> m_calls = 0;
+  uint64_t m_sequence = 0;
+  std::string m_address;
+  HttpServer m_server;
+};
+
+void Refuse(const std::shared_ptr<HttpResponder>& aResponder, ErrorKind aKind) {
+  PeerAnswer answer;
+  answer.m_error = MakeError(aKind, "refused");
+  HttpReply reply;
+  reply.m_contentType = "application/cbor";
+  reply.m_body = EncodePeerAnswer(answer);
+  aResponder->Reply(std::move(reply));
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EntryCallsSuite, NodeFixture)
+
+/** Guards against 503, "never runs", for a job that was stored: its owner ended
+ *  before it answered, and the successor refused the second attempt as it was
+ *  still loading the cell (review/4). */
+BOOST_AUTO_TEST_CASE(SuccessorThatLoadsDoesNotSettleALostAnswer) {
+  constexpr uint64_t kTerm = 2;
+  Counters counters;
+  PlayedOwner successor(m_platformThreads, counters,
+                        [&](const std::shared_ptr<HttpResponder>& aResponder) {
+                          successor.Beat(m_store, kTerm + 1);
+                          Refuse(aResponder, ErrorKind::NotOwner);
+                        });
+  PlayedOwner owner(m_platformThreads, counters,
+                    [&](const std::shared_ptr<HttpResponder>& aResponder) {
+                      successor.Beat(m_store, kTerm + 1);
+                      aResponder->Abort();
+                    });
+  RunningNode& node = AddNode("n1");
+  HttpReply reply;
+  // The node refuses calls until it has read its configuration.
+  BOOST_REQUIRE(Eventually([&] {
+    owner.Beat(m_store, kTerm);
+    reply = Submit(node, "00000000000000a2");
+    return owner.Calls() > 0;
+  }));
+  BOOST_TEST(reply.m_status == 504);
+  BOOST_TEST(successor.Calls() > 1);
+  m_nodes.clear();
+}
+
+/** Guards against callers that wait for their deadline although no attempt can
+ *  have stored their job. */
+BOOST_AUTO_TEST_CASE(RefusedCallIsAnsweredAtOnce) {
+  constexpr uint64_t kTerm = 2;
+  Counters counters;
+  PlayedOwner owner(m_platformThreads, counters,
+                    [&](const std::shared_ptr<HttpResponder>& aResponder) {
+                      owner.Beat(m_store, kTerm);
+                      Refuse(aResponder, ErrorKind::NotOwner);
+                    });
+  RunningNode& node = AddNode("n1");
+  HttpReply reply;
+  TimePoint begunAt;
+  BOOST_REQUIRE(Eventually([&] {
+    owner.Beat(m_store, kTerm);
+    begunAt = BootNow();
+    reply = Submit(node, "00000000000000a2");
+    return owner.Calls() > 0;
+  }));
+  BOOST_TEST(reply.m_status == 503);
+  BOOST_TEST(!reply.Header("Retry-After").empty());
+  BOOST_TEST((BootNow() - begunAt < seconds(2)));
+  m_nodes.clear();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bronze
