sched: a step leaves the queue with its last waiting task

Seen by callers: no job of a cell was answered or went on.

Cause: a timed job's task was put back into the queue after its runner had been cut off; then its end arrived. FinishTask ended the occurrence and left its step in Cell::m_queue, and the next pass read an occurrence that did not exist. The queue's invariant stood beside the member, but a waiting task that finished did not keep to it.

Ruled out: tolerating missing occurrences in the pass. UpdateShortDemand, PlaceStep and LoadOf all read them, and the stale entry would stay.

Change: FinishTask takes the step out of the queue when its last waiting task has ended. An occurrence ends only when all tasks are done, so none of its steps is queued then.

Without the change LateEndOfAWaitingTaskEndsItsOccurrence fails (the step is still queued, then an access to address 0); with it, it passes.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -206,7 +206,10 @@
   /** Never shrinks while the cell has this owner. */
   std::vector<Runner> m_runners;
   std::map<RunnerId, RunnerIndex> m_runnerByName;
-  /** Steps with at least one task in TaskPhase::Ready. */
+  /** Exactly the steps with a task in TaskPhase::Ready, of active jobs that do
+   *  not move; thus the occurrence of each exists. A step enters when a task
+   *  becomes ready and leaves with the last one, whatever that task becomes
+   *  (LeaveQueueIfIdle), and an occurrence only ends once no task is ready. */
   std::set<QueueKey> m_queue;
   std::set<JobId> m_dirty;  ///< Jobs with m_version > m_storedVersion.
   /** Next due time of each scheduled job. */
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -43,6 +43,14 @@
          aPhase != TaskPhase::Done;
 }
 
+bool HasReadyTask(const Job& aJob, const Occurrence& aOccurrence,
+                  uint32_t aStep) {
+  const auto first = aOccurrence.m_tasks.begin() + aJob.m_stepOffset[aStep];
+  return std::any_of(
+      first, first + aJob.m_spec.m_steps[aStep].m_count,
+      [](const Task& aTask) { return aTask.m_phase == TaskPhase::Ready; });
+}
+
 Millicores WaitingCores(const Job& aJob, const QueueKey& aKey) {
   const StepSpec& step = aJob.m_spec.m_steps[aKey.m_step];
   const Occurrence& occurrence = aJob.m_occurrences.at(aKey.m_occurrence);
@@ -197,12 +205,27 @@
 
 }  // namespace
 
+namespace {
+
+/** A task of the step has left TaskPhase::Ready. */
+void LeaveQueueIfIdle(Cell& aCell, const TaskKey& aKey,
+                      const TaskPlace& aPlace) {
+  if (HasReadyTask(*aPlace.m_job, *aPlace.m_occurrence, aKey.m_step)) return;
+  aCell.m_queue.erase(
+      QueueKeyOf(*aPlace.m_job, aKey.m_occurrence, aKey.m_step));
+}
+
+}  // namespace
+
 void FinishTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
                 TimePoint aNow) {
   Task& task = *aPlace.m_task;
   if (task.m_phase == TaskPhase::Done) return;
   if (HasPlace(task.m_phase)) Release(aCell, aKey, *aPlace.m_step, task);
+  // An end may arrive after the task was put back into the queue.
+  const bool waited = task.m_phase == TaskPhase::Ready;
   task.m_phase = TaskPhase::Done;
+  if (waited) LeaveQueueIfIdle(aCell, aKey, aPlace);
   task.m_phaseSince = aNow;
   task.m_checkpoint.clear();
   Job& job = *aPlace.m_job;
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -36,6 +36,10 @@
 [[nodiscard]] bool PredecessorsDone(const StepSpec& aStep,
                                     const Occurrence& aOccurrence);
 
+/** Whether a task of the step waits for a runner. */
+[[nodiscard]] bool HasReadyTask(const Job& aJob, const Occurrence& aOccurrence,
+                                uint32_t aStep);
+
 /** @return the cores that the step's waiting tasks need. */
 [[nodiscard]] Millicores WaitingCores(const Job& aJob, const QueueKey& aKey);
 
--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -423,6 +423,34 @@
   BOOST_TEST(starts[0].m_task.m_occurrence == 1U);
 }
 
+/** Guards against a process that ends on each pass: the last task of an
+ *  occurrence was put back into the queue, and then its end arrived, as its
+ *  runner had been cut off (review/1). */
+BOOST_AUTO_TEST_CASE(LateEndOfAWaitingTaskEndsItsOccurrence) {
+  const RunnerIndex runner = AddRunner("a");
+  JobSpec spec = Spec(1);
+  spec.m_maxRuns = 2;
+  spec.m_startTime = m_unixNow;
+  spec.m_intervalMs = 100'000;
+  Submit(std::move(spec));
+  AdvanceJobs(m_cell, m_now, m_unixNow);
+  BOOST_REQUIRE(StartAll().size() == 1U);
+  BOOST_REQUIRE(NextRenewal(m_cell, runner, m_now).has_value());
+  ApplyRenewalFailure(m_cell, runner, OrderOutcome::Unknown, m_now);
+  RemoveRunner(m_cell, RunnerId("a"));
+  AdvanceTime(seconds(11));
+  AdvanceRunners(m_cell, m_now);
+  BOOST_REQUIRE(StartAll().empty());
+  BOOST_REQUIRE(m_cell.m_queue.size() == 1U);
+  Report(
+      runner, {},
+      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  BOOST_TEST(m_cell.m_jobs.at(JobId(1)).m_occurrences.empty());
+  BOOST_TEST(m_cell.m_queue.empty());
+  m_cell.m_capacityChanged = true;
+  BOOST_TEST(StartAll().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
