sched: a run counts as lost only if the runner has listed all ends

Cause: a runner lists 500 ends at a time. A run that stood neither in that list nor among the running ones counted as lost, though its end stood further back.

Ruled out: counting only takeovers as special. Every case in which more ends wait than one list holds has the effect, also an outage of the store.

Change: RunnerReport::m_allEndsListed, false unless the decoder has seen fewer ends than a full list. RequeueAbsent draws no conclusion without it.

Read beside it: pages of the store's tables (LoadTable, TableWatch, LayoutKeeper read to the last page, and removals follow only that), the list of running tasks (no limit), malformed rows (the whole report is refused). Late orders to a new instance of a runner stay left out of the simulation, as before.

--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -223,6 +223,7 @@
 
 void RequeueAbsent(Cell& aCell, Runner& aRunner, const RunnerReport& aReport,
                    TimePoint aSentAt, TimePoint aNow) {
+  if (!aReport.m_allEndsListed) return;
   const std::vector<TaskKey> keys = aRunner.m_tasks;
   for (const TaskKey& key : keys) {
     const TaskPlace place = FindTask(aCell, key);
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -65,6 +65,10 @@
   UnixMillis m_startedAt;  ///< Start time of its instance; 0: unknown.
   std::vector<RunningRow> m_running;
   std::vector<EndRow> m_ended;
+  /** m_ended has every end that the runner keeps. Only then has a run that is
+   * in neither list left no end, and counts as lost; else its end may follow.
+   */
+  bool m_allEndsListed = false;
 };
 
 /** A reported end that is acknowledged once that version of its job is
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -267,6 +267,9 @@
   return running;
 }
 
+/** Ends that a runner lists at most. */
+constexpr size_t kMaxListedEnds = 500;
+
 constexpr std::array<std::string_view, 6> kEndNames = {
     "done", "failed", "stopped", "lapsed", "broken", "alone"};
 
@@ -323,6 +326,7 @@
       report.m_ended.push_back(std::move(row.value()));
     }
   }
+  report.m_allEndsListed = report.m_ended.size() < kMaxListedEnds;
   return report;
 }
 
--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+/** Ends that one answer lists at most; the others are listed once these are
+ *  acknowledged. */
+constexpr size_t kListedEnds = 500;
+
 using Json = nlohmann::json;
 namespace base64 = boost::beast::detail::base64;
 
@@ -359,6 +363,7 @@
   }
   answer["finished"] = Json::array();
   for (const End& end : m_ends) {
+    if (answer["finished"].size() == kListedEnds) break;
     answer["finished"].push_back(
         Json::array({end.m_number, end.m_task, end.m_run, end.m_kind, ""}));
   }
--- a/tests/core/sched/cell_fixture.h
+++ b/tests/core/sched/cell_fixture.h
@@ -101,6 +101,7 @@
   void Report(RunnerIndex aRunner, std::vector<RunningRow> aRunning,
               std::vector<EndRow> aEnded) {
     RunnerReport report;
+    report.m_allEndsListed = true;
     report.m_clock = RunnerMillis(m_now.time_since_epoch().count() / 1000);
     report.m_startedAt = UnixMillis(1);
     report.m_running = std::move(aRunning);
--- a/tests/core/sched/cell_simulation.h
+++ b/tests/core/sched/cell_simulation.h
@@ -48,7 +48,10 @@
   std::map<TaskKey, RunNumber> m_closedRuns;
   std::vector<EndRow> m_ends;  ///< Ends that were not acknowledged yet.
   EndNumber m_lastEnd;
+  /** Ends up to this one may be ignored, as the lease has ended since. */
+  EndNumber m_lapsedEnds;
   bool m_reachable = true;
+  bool m_listed = true;
 };
 
 /** A daemon that owns the cell, or assumes so. */
@@ -135,6 +138,10 @@
                               const RenewalOrder& aOrder);
   void CheckStart(const SimulatedRunner& aRunner, const StartOrder& aOrder);
   void Crash(SimulatedRunner& aRunner);
+  /** The runner cannot be reached for a time; its entry may be removed. */
+  void CutOff(size_t aRunner);
+  /** Adds or removes the runner's entry. */
+  void SetListed(SimulatedRunner& aRunner, bool aListed);
 
   std::mt19937_64 m_random;
   TimePoint m_now = TimePoint(seconds(1000));
--- a/tests/core/sched/runner_instance_test.cpp
+++ b/tests/core/sched/runner_instance_test.cpp
@@ -182,6 +182,7 @@
   Submit(Spec(1));
   StartAll();
   RunnerReport report;
+  report.m_allEndsListed = true;
   report.m_clock = RunnerMillis(5);
   report.m_startedAt = UnixMillis(2);
   ApplyReport(m_cell, runner, report, m_now, m_now);
@@ -234,6 +235,7 @@
   m_cell.m_newestFence = FencingToken(20);
   BOOST_REQUIRE(NextRenewal(m_cell, used, m_now).has_value());
   RunnerReport report;
+  report.m_allEndsListed = true;
   report.m_clock = RunnerMillis(5);
   report.m_startedAt = UnixMillis(2);
   ApplyReport(m_cell, used, report, m_now, m_now);
--- a/tests/scheduler/platform_decode_test.cpp
+++ b/tests/scheduler/platform_decode_test.cpp
@@ -3,6 +3,8 @@
  * and of stored rows and peer calls in CBOR.
  */
 
+#include <fmt/format.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include "codec/job_cbor.h"
@@ -87,6 +89,21 @@
   }
 }
 
+/** Guards against a list of ends that is taken as complete although the runner
+ *  keeps more (review/3). */
+BOOST_AUTO_TEST_CASE(FullListOfEndsMayBeIncomplete) {
+  constexpr size_t kMostListed = 500;
+  std::string ends;
+  for (size_t number = 1; number <= kMostListed; ++number) {
+    ends += fmt::format(R"({}[{},"5c0e7a21d94b36f8.0.1.{}",1,"done",""])",
+                        ends.empty() ? "" : ",", number, number);
+    const auto report = DecodeRunnerReport(
+        fmt::format(R"({{"clock_ms":1,"running":[],"finished":[{}]}})", ends));
+    BOOST_REQUIRE(report.has_value());
+    BOOST_TEST(report.value().m_allEndsListed == (number < kMostListed));
+  }
+}
+
 /** Guards against the use of runners whose entry is invalid. */
 BOOST_AUTO_TEST_CASE(InvalidRunnerEntriesAreRefused) {
   BOOST_TEST(DecodeRunnerEntry(
