sched: an end waits for the job's version, also if it changes nothing

Cause: the end of one member had ended the occurrence in memory. The end of another member then found no task, counted as "nothing to store" and was acknowledged at once, while the store was down. The rows still had the gang as placed, and the ends were gone.

Ruled out: the list of three ends in the simulation; the first list already had the end, and the trace shows it acknowledged without a commit.

Change: UnstoredEnd::m_jobVersion is the version of the job when the end was read, whatever the end changed.

Read beside it: ends of tasks that are done (they had the version), ends of unknown jobs (no rows), move_cmd and WithdrawUnstored (their jobs never had a run).

--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -136,7 +136,11 @@
   ++aCell.m_counts.m_endsByKind[static_cast<size_t>(aEnd.m_kind)];
   const TaskPlace place = FindTask(aCell, aEnd.m_task);
   if (place.m_task == nullptr) {
-    runner.m_unstoredEnds.push_back({aEnd.m_number, aEnd.m_task.m_job, 0});
+    // The occurrence may have ended by another report a moment ago.
+    const auto job = aCell.m_jobs.find(aEnd.m_task.m_job);
+    runner.m_unstoredEnds.push_back(
+        {aEnd.m_number, aEnd.m_task.m_job,
+         job == aCell.m_jobs.end() ? 0 : job->second.m_version});
     return;
   }
   Task& task = *place.m_task;
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -76,7 +76,10 @@
 struct UnstoredEnd {
   EndNumber m_number;
   JobId m_job;
-  uint64_t m_jobVersion = 0;  ///< 0: nothing to store.
+  /** Version of the job when the end was read, also if the end changed nothing:
+   *  what made it superfluous may not be durable yet. 0: there is no such job.
+   */
+  uint64_t m_jobVersion = 0;
 };
 
 struct Runner {
--- a/tests/core/sched/runner_instance_test.cpp
+++ b/tests/core/sched/runner_instance_test.cpp
@@ -243,6 +243,33 @@
   static_cast<void>(runner);
 }
 
+/** Guards against a second run of a gang whose end was acknowledged before it
+ *  was durable: another member's end had ended the occurrence in memory, so
+ *  there seemed to be nothing to store (found by sched_property_test). */
+BOOST_AUTO_TEST_CASE(EndOfAnEndedOccurrenceIsAcknowledgedOnlyWhenDurable) {
+  const RunnerIndex first = AddRunner("a", 4000);
+  const RunnerIndex second = AddRunner("b", 4000);
+  JobSpec spec = Spec(1, 2);
+  spec.m_steps[0].m_gang = true;
+  spec.m_maxRuns = 2;
+  spec.m_startTime = m_unixNow;
+  spec.m_intervalMs = 100'000;
+  Submit(std::move(spec));
+  AdvanceJobs(m_cell, m_now, m_unixNow);
+  const auto starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 2U);
+  const auto endOn = [&](RunnerIndex aRunner) {
+    const StartOrder& start = starts[starts[0].m_runner == aRunner ? 0 : 1];
+    return EndRow{EndNumber(1), start.m_task, start.m_run, EndKind::Done, ""};
+  };
+  Report(first, {}, {endOn(first)});
+  BOOST_REQUIRE(m_cell.m_jobs.at(JobId(1)).m_occurrences.empty());
+  Report(second, {}, {endOn(second)});
+  BOOST_TEST(m_cell.m_runners[second.Value()].m_storedEnd.Value() == 0U);
+  CommitAll();
+  BOOST_TEST(m_cell.m_runners[second.Value()].m_storedEnd.Value() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
