sched: a renewal that can acknowledge ends does not wait for its turn

Cause: ends are acknowledged only within 200 ms after a report. Slow answers space renewals up to 600 ms apart, so no renewal could acknowledge, and a runner with a full list shows no further end. Since a full list no longer shows that a run is lost, the tasks waited for ever.

Ruled out: a longer time than 200 ms. It guards against a new instance that drops ends which nobody has read.

Change: a renewal that can acknowledge stored ends skips the spacing. It takes place once for each list.

Evidence: EndsAreAcknowledgedWhileAnswersAreSlow fails before the change and passes now.

--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -131,6 +131,8 @@
       case TaskPhase::Recovering:
         task.m_phase = TaskPhase::Recovering;
         task.m_phaseSince = aNow;
+        // The lease end in such a start is on the clock of the earlier
+        // instance, so only the runner's maximum limits it.
         aRunner.m_lapsesAt =
             std::max(aRunner.m_lapsesAt,
                      aNow + LeaseUpperBound(aCell.m_settings.m_leaseCap));
@@ -228,10 +230,14 @@
                                         TimePoint aNow) {
   Runner& runner = aCell.m_runners[aRunner.Value()];
   if (runner.m_renewalPending || runner.m_entry.m_address.empty()) return {};
-  if (aNow < runner.m_nextRenewalAt ||
-      aNow - runner.m_renewalOrderedAt < RenewalSpacing(aCell.m_window)) {
-    return {};
-  }
+  // Only right after a report can ends be acknowledged, and a runner lists
+  // further ones only then. So this renewal does not wait for its turn.
+  const bool canAcknowledge = aNow - runner.m_clockAt < kAckMaxReportAge;
+  const bool acknowledges =
+      canAcknowledge && runner.m_storedEnd > runner.m_acknowledgedEnd;
+  const bool isEarly =
+      aNow - runner.m_renewalOrderedAt < RenewalSpacing(aCell.m_window);
+  if (aNow < runner.m_nextRenewalAt || (isEarly && !acknowledges)) return {};
   if (runner.m_awaitsFence && aCell.m_newestFence <= runner.m_fence) return {};
   const bool hasWork = !runner.m_tasks.empty() || runner.m_hasUnknownRuns ||
                        !runner.m_unstoredEnds.empty() ||
@@ -259,9 +265,7 @@
   order.m_fence = runner.m_fence;
   // A new instance numbers its ends from 1 again, so acknowledging a number of
   // the earlier one would make it drop ends that nobody has read.
-  if (aNow - runner.m_clockAt < kAckMaxReportAge) {
-    order.m_lastSeen = runner.m_storedEnd;
-  }
+  if (canAcknowledge) order.m_lastSeen = runner.m_storedEnd;
   runner.m_pendingAckEnd = order.m_lastSeen;
   if (runner.m_contacted) {
     // An unanswered renewal may be in force. Repeating it with the same lease
--- a/tests/core/sched/runner_instance_test.cpp
+++ b/tests/core/sched/runner_instance_test.cpp
@@ -270,6 +270,27 @@
   BOOST_TEST(m_cell.m_runners[second.Value()].m_storedEnd.Value() == 1U);
 }
 
+/** Guards against ends that are never acknowledged while answers are slow: the
+ *  next renewal waited until the last report was too old for that, so a runner
+ *  with a full list showed no further ends (found by sched_property_test). */
+BOOST_AUTO_TEST_CASE(EndsAreAcknowledgedWhileAnswersAreSlow) {
+  const RunnerIndex runner = AddRunner("a");
+  Submit(Spec(1));
+  BOOST_REQUIRE(StartAll().size() == 1U);
+  m_cell.m_window.m_answerTime = milliseconds(500);
+  AdvanceTime(seconds(2));
+  BOOST_REQUIRE(NextRenewal(m_cell, runner, m_now).has_value());
+  AdvanceTime(milliseconds(100));
+  Report(
+      runner, {},
+      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  CommitAll();
+  AdvanceTime(milliseconds(50));
+  const auto renewal = NextRenewal(m_cell, runner, m_now);
+  BOOST_REQUIRE(renewal.has_value());
+  BOOST_TEST(renewal->m_lastSeen.Value() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
