sched: a superseded run holds its runner until it has certainly ended

Cause: when an earlier run of a task succeeds, the resources of its later run are released. That they may still be in use was remembered only until the next report, which may have been requested before the start of that run arrived. The other members of a gang were released without a stop.

Ruled out: keeping the reservation of the task. The task is done and may be gone with its occurrence.

Change: Runner::m_supersededRuns. A run leaves it when a report lacks it that was requested after its start or its stop was answered, or with the lease or the instance. Unanswered stops are repeated. IsUsable excludes such runners.

Evidence: SupersededRunHoldsItsRoomUntilItsStopIsAnswered fails before the change and passes now.

--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -56,6 +56,7 @@
   return aRunner.m_listed && aRunner.m_contacted &&
          !aRunner.m_entry.m_draining && aRunner.m_missedRenewals == 0 &&
          !aRunner.m_lapseStored && !aRunner.m_hasUnknownRuns &&
+         aRunner.m_supersededRuns.empty() &&
          aRunner.m_quarantinedUntil <= aNow &&
          aRunner.m_entry.m_service == aService;
 }
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -166,6 +166,7 @@
   aRunner.m_tailRatio = 0.0;
   aRunner.m_isOverTarget = false;
   aRunner.m_hasUnknownRuns = false;
+  aRunner.m_supersededRuns.clear();
   aRunner.m_latencyCritical.clear();
   aRunner.m_nextRenewalAt = aNow;
 }
@@ -239,8 +240,9 @@
       aNow - runner.m_renewalOrderedAt < RenewalSpacing(aCell.m_window);
   if (aNow < runner.m_nextRenewalAt || (isEarly && !acknowledges)) return {};
   if (runner.m_awaitsFence && aCell.m_newestFence <= runner.m_fence) return {};
-  const bool hasWork = !runner.m_tasks.empty() || runner.m_hasUnknownRuns ||
-                       !runner.m_unstoredEnds.empty() ||
+  const bool hasRuns = !runner.m_tasks.empty() || runner.m_hasUnknownRuns ||
+                       !runner.m_supersededRuns.empty();
+  const bool hasWork = hasRuns || !runner.m_unstoredEnds.empty() ||
                        runner.m_storedEnd > runner.m_acknowledgedEnd;
   // The first renewal raises the fencing token on the runner, so that orders of
   // an earlier owner that are still under way are refused. An unresponsive
@@ -284,7 +286,6 @@
                  (place.m_task->m_phase == TaskPhase::StartUnanswered ||
                   place.m_task->m_phase == TaskPhase::Recovering);
         });
-    const bool idle = runner.m_tasks.empty() && !runner.m_hasUnknownRuns;
     // Once heartbeats succeed again, such a lease has to be extended soon.
     const bool endsSoon =
         order.m_deadline <
@@ -293,7 +294,7 @@
       order.m_wait =
           std::min(order.m_wait, aCell.m_settings.m_monitoredRenewalWait);
     }
-    if (needsListSoon || idle || runner.m_missedRenewals > 0) {
+    if (needsListSoon || !hasRuns || runner.m_missedRenewals > 0) {
       order.m_wait = Duration::zero();
     }
   }
@@ -372,8 +373,38 @@
   Requeue(aCell, aOrder.m_task, place, aNow);
 }
 
+namespace {
+
+/** @return the superseded run that the order stops; null if it is none. */
+SupersededRun* FindSupersededRun(Runner& aRunner, const StopOrder& aOrder) {
+  for (SupersededRun& run : aRunner.m_supersededRuns) {
+    if (run.m_task == aOrder.m_task && run.m_run == aOrder.m_run) return &run;
+  }
+  return nullptr;
+}
+
+void RepeatStopsOfSuperseded(Cell& aCell, RunnerIndex aRunner, TimePoint aNow) {
+  Runner& runner = aCell.m_runners[aRunner.Value()];
+  if (!runner.m_contacted) return;
+  for (SupersededRun& run : runner.m_supersededRuns) {
+    if (run.m_decidedAt || aNow - run.m_stopOrderedAt <= kStopRepeat) {
+      continue;
+    }
+    run.m_stopOrderedAt = aNow;
+    ++aCell.m_counts.m_stops;
+    aCell.m_orders.emplace_back(StopOrder{run.m_task, run.m_run, aRunner});
+  }
+}
+
+}  // namespace
+
 void ApplyStopAnswer(Cell& aCell, const StopOrder& aOrder,
                      OrderOutcome aOutcome, TimePoint aNow) {
+  SupersededRun* superseded =
+      FindSupersededRun(aCell.m_runners[aOrder.m_runner.Value()], aOrder);
+  if (superseded != nullptr && aOutcome == OrderOutcome::Applied) {
+    superseded->m_decidedAt = aNow;
+  }
   const TaskPlace place = FindTask(aCell, aOrder.m_task);
   if (place.m_task == nullptr) return;
   Task& task = *place.m_task;
@@ -432,9 +463,12 @@
 
 void AdvanceRunners(Cell& aCell, TimePoint aNow) {
   CheckUnresponsive(aCell, aNow);
-  for (Runner& runner : aCell.m_runners) {
-    if (runner.m_tasks.empty()) continue;
+  for (uint32_t at = 0; at < aCell.m_runners.size(); ++at) {
+    Runner& runner = aCell.m_runners[at];
+    RepeatStopsOfSuperseded(aCell, RunnerIndex(at), aNow);
+    if (runner.m_tasks.empty() && runner.m_supersededRuns.empty()) continue;
     if (aNow > runner.m_lapsesAt && runner.m_missedRenewals > 0) {
+      runner.m_supersededRuns.clear();
       if (!runner.m_lapseCounted) ++aCell.m_counts.m_lapsedRunners;
       runner.m_lapseCounted = true;
       RequeueLapsedRuns(aCell, runner, aNow, "lapse");
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -103,10 +103,25 @@
   }
 }
 
+/** Run aRun of the task, or of its gang, has succeeded: a later run elsewhere
+ * is not needed. FinishTask releases its resources here, but on the runner they
+ *  are in use until it has stopped. */
+void SupersedeOtherRun(Cell& aCell, const TaskKey& aKey, const Task& aTask,
+                       RunNumber aRun, TimePoint aNow) {
+  if (!HasPlace(aTask.m_phase) || aTask.m_run == aRun) return;
+  if (aTask.m_phase == TaskPhase::Intended) return;
+  ++aCell.m_counts.m_stops;
+  aCell.m_orders.emplace_back(StopOrder{aKey, aTask.m_run, aTask.m_runner});
+  SupersededRun run{aKey, aTask.m_run, aNow, {}};
+  if (aTask.m_phase == TaskPhase::Running) run.m_decidedAt = aTask.m_phaseSince;
+  aCell.m_runners[aTask.m_runner.Value()].m_supersededRuns.push_back(run);
+}
+
 /** Finishes the task; the success of one member is that of the whole gang. */
 void FinishStep(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
-                TimePoint aNow) {
+                RunNumber aRun, TimePoint aNow) {
   if (!aPlace.m_step->m_gang) {
+    SupersedeOtherRun(aCell, aKey, *aPlace.m_task, aRun, aNow);
     FinishTask(aCell, aKey, aPlace, aNow);
     return;
   }
@@ -114,22 +129,12 @@
     TaskKey key = aKey;
     key.m_index = index;
     const TaskPlace place = FindTask(aCell, key);
-    if (place.m_task != nullptr) FinishTask(aCell, key, place, aNow);
+    if (place.m_task == nullptr) continue;
+    SupersedeOtherRun(aCell, key, *place.m_task, aRun, aNow);
+    FinishTask(aCell, key, place, aNow);
   }
 }
 
-/** The task has succeeded, so a later run elsewhere is not needed. */
-void StopOtherRun(Cell& aCell, const TaskKey& aKey, const Task& aTask,
-                  RunnerIndex aRunner, RunNumber aRun) {
-  if (!HasPlace(aTask.m_phase)) return;
-  if (aTask.m_runner == aRunner && aTask.m_run == aRun) return;
-  if (aTask.m_phase == TaskPhase::Intended) return;
-  ++aCell.m_counts.m_stops;
-  aCell.m_orders.emplace_back(StopOrder{aKey, aTask.m_run, aTask.m_runner});
-  // Its resources are released here, but on the runner only after the stop.
-  aCell.m_runners[aTask.m_runner.Value()].m_hasUnknownRuns = true;
-}
-
 void ApplyEnd(Cell& aCell, RunnerIndex aIndex, const EndRow& aEnd,
               TimePoint aNow) {
   Runner& runner = aCell.m_runners[aIndex.Value()];
@@ -159,8 +164,7 @@
     if (isCurrent && task.m_phase == TaskPhase::Running) {
       NoteSuccess(runner, place, aNow);
     }
-    StopOtherRun(aCell, aEnd.m_task, task, aIndex, aEnd.m_run);
-    FinishStep(aCell, aEnd.m_task, place, aNow);
+    FinishStep(aCell, aEnd.m_task, place, aEnd.m_run, aNow);
   } else if (aEnd.m_kind == EndKind::Failed &&
              task.m_phase != TaskPhase::Done) {
     FailTask(aCell, aEnd.m_task, place, aEnd, runner, aNow);
@@ -180,11 +184,18 @@
       place.m_task != nullptr && HasPlace(place.m_task->m_phase) &&
       place.m_task->m_runner == aIndex && place.m_task->m_run == aRow.m_run;
   if (!isCurrent) {
+    Runner& runner = aCell.m_runners[aIndex.Value()];
+    const bool stopped = std::any_of(
+        runner.m_supersededRuns.begin(), runner.m_supersededRuns.end(),
+        [&](const SupersededRun& aRun) {
+          return aRun.m_task == aRow.m_task && aRun.m_run == aRow.m_run;
+        });
+    if (stopped) return;
     // No stored state asks for this run: an order was executed late, or the
     // task has ended since.
     ++aCell.m_counts.m_stops;
     aCell.m_orders.emplace_back(StopOrder{aRow.m_task, aRow.m_run, aIndex});
-    aCell.m_runners[aIndex.Value()].m_hasUnknownRuns = true;
+    runner.m_hasUnknownRuns = true;
     return;
   }
   Task& task = *place.m_task;
@@ -242,6 +253,19 @@
   }
 }
 
+/** Drops the superseded runs that the report shows to have ended. */
+void DropEndedSupersededRuns(Cell& aCell, Runner& aRunner,
+                             const RunnerReport& aReport, TimePoint aSentAt) {
+  const auto ended = [&](const SupersededRun& aRun) {
+    return aRun.m_decidedAt && *aRun.m_decidedAt <= aSentAt &&
+
+           !IsListed(aReport, aRun.m_task, aRun.m_run);
+  };
+  if (std::erase_if(aRunner.m_supersededRuns, ended) > 0) {
+    aCell.m_capacityChanged = true;
+  }
+}
+
 /** Moves tasks without progress on a runner that seems healthy. */
 void StopStalled(Cell& aCell, Runner& aRunner, TimePoint aNow) {
   const std::vector<TaskKey> keys = aRunner.m_tasks;
@@ -340,6 +364,7 @@
     ApplyRunning(aCell, aRunner, row, aNow);
   }
   RequeueAbsent(aCell, runner, aReport, aSentAt, aNow);
+  DropEndedSupersededRuns(aCell, runner, aReport, aSentAt);
   StopStalled(aCell, runner, aNow);
   PaceRunner(aCell, aRunner, aNow);
   ReleaseStoredEnds(aCell, runner, aNow);
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,17 @@
   uint64_t m_jobVersion = 0;
 };
 
+/** A run that its task needs no more, as another one has succeeded. */
+struct SupersededRun {
+  TaskKey m_task;
+  RunNumber m_run;
+  TimePoint m_stopOrderedAt;
+  /** When its start or its stop was answered. A report that was requested later
+   *  and lacks it shows that it has ended, as it cannot begin any more. Not
+   * set: the stop has to be repeated. */
+  std::optional<TimePoint> m_decidedAt;
+};
+
 struct Runner {
   RunnerEntry m_entry;
   std::string m_rack;     ///< The last label; empty if there is none.
@@ -129,6 +141,11 @@
    *  resources are not in m_reserved, so nothing is placed there until they
    *  have ended. */
   bool m_hasUnknownRuns = false;
+  /** Runs whose resources are not in m_reserved any more, but may be in use. A
+   *  run leaves only when a report that was requested after m_decidedAt lacks
+   *  it, or when the lease or the instance has ended. Nothing is placed there
+   *  before. */
+  std::vector<SupersededRun> m_supersededRuns;
 
   uint32_t m_failuresInRow = 0;
   uint32_t m_quarantineCount = 0;
--- a/tests/core/sched/runner_instance_test.cpp
+++ b/tests/core/sched/runner_instance_test.cpp
@@ -270,6 +270,44 @@
   BOOST_TEST(m_cell.m_runners[second.Value()].m_storedEnd.Value() == 1U);
 }
 
+/** Guards against tasks that are placed over a runner's capacity: a later run
+ *  was superseded while its start was under way, and counted as gone as soon as
+ *  a report lacked it (found by sched_property_test). */
+BOOST_AUTO_TEST_CASE(SupersededRunHoldsItsRoomUntilItsStopIsAnswered) {
+  const RunnerIndex first = AddRunner("a", 4000);
+  Submit(Spec(1));
+  BOOST_REQUIRE(StartAll().size() == 1U);
+  BOOST_REQUIRE(NextRenewal(m_cell, first, m_now).has_value());
+  ApplyRenewalFailure(m_cell, first, OrderOutcome::Unknown, m_now);
+  RemoveRunner(m_cell, RunnerId("a"));
+  AdvanceTime(seconds(11));
+  AdvanceRunners(m_cell, m_now);
+  const RunnerIndex second = AddRunner("b", 4000);
+  PlaceTasks(m_cell, m_now);
+  CommitAll();
+  BOOST_REQUIRE(Take<StartOrder>().size() == 1U);
+
+  // The first run has succeeded; the start of the second has no answer yet.
+  Report(
+      first, {},
+      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  const auto stops = Take<StopOrder>();
+  BOOST_REQUIRE(stops.size() == 1U);
+  BOOST_TEST((stops[0].m_runner == second));
+  Submit(Spec(2));
+  Report(second, {}, {});
+  BOOST_TEST(StartAll().empty());
+  ApplyStopAnswer(m_cell, stops[0], OrderOutcome::Unknown, m_now);
+  AdvanceTime(seconds(1));
+  AdvanceRunners(m_cell, m_now);
+  BOOST_TEST(Take<StopOrder>().size() == 1U);
+  ApplyStopAnswer(m_cell, stops[0], OrderOutcome::Applied, m_now);
+  BOOST_TEST(StartAll().empty());
+  AdvanceTime(milliseconds(10));
+  Report(second, {}, {});
+  BOOST_TEST(StartAll().size() == 1U);
+}
+
 /** Guards against ends that are never acknowledged while answers are slow: the
  *  next renewal waited until the last report was too old for that, so a runner
  *  with a full list showed no further ends (found by sched_property_test). */
