sched: a job that is being stored is not unknown

Read in the review, not seen: a look-up of an accepted job gets 410 for some 15 ms after the job has come to another cell, as it is not stored there yet.

Change: LookUpJob reports NotReady (503, Retry-After) for a job that the cell has but has not stored. 410 stays for jobs that the cell does not have.

Evidence: JobThatIsBeingStoredIsNotUnknown.

--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -132,10 +132,14 @@
 
 Result<JobState> LookUpJob(const Cell& aCell, JobId aJob) {
   const auto found = aCell.m_jobs.find(aJob);
-  if (found == aCell.m_jobs.end() || !found->second.m_specStored) {
+  if (found == aCell.m_jobs.end()) {
     return MakeError(ErrorKind::UnknownJob, "no such job");
   }
   const Job& job = found->second;
+  // A job that came from another cell was accepted long ago.
+  if (!job.m_specStored) {
+    return MakeError(ErrorKind::NotReady, "the job is being stored");
+  }
   const JobState open = job.m_anyStarted ? JobState::Running : JobState::Queued;
   if (job.m_storedVersion < job.m_version && job.m_phase != JobPhase::Active) {
     return open;
--- a/src/core/sched/job_cmd.h
+++ b/src/core/sched/job_cmd.h
@@ -54,7 +54,8 @@
 
 /**
  * @return the state to report. An end is reported only once it is
- *         durable, so that no later owner reports an earlier state.
+ *         durable, so that no later owner reports an earlier state. A job that
+ *         is not stored yet is not unknown: NotReady.
  */
 [[nodiscard]] Result<JobState> LookUpJob(const Cell& aCell, JobId aJob);
 
--- a/tests/core/sched/route_move_test.cpp
+++ b/tests/core/sched/route_move_test.cpp
@@ -315,6 +315,18 @@
   BOOST_TEST(ToStored(other).m_pairs.empty());
 }
 
+/** Guards against 410 for an accepted job that has come from another cell and
+ *  is not stored here yet (read in the review, not seen). */
+BOOST_AUTO_TEST_CASE(JobThatIsBeingStoredIsNotUnknown) {
+  BOOST_REQUIRE(SubmitJob(m_cell, Spec(1), m_now, m_unixNow).has_value());
+  BOOST_TEST(
+      (LookUpJob(m_cell, JobId(1)).error().m_kind == ErrorKind::NotReady));
+  BOOST_TEST(
+      (LookUpJob(m_cell, JobId(2)).error().m_kind == ErrorKind::UnknownJob));
+  CommitAll();
+  BOOST_TEST(LookUpJob(m_cell, JobId(1)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
