sched: commits take changed jobs in turn

Cause: TakeCommit took the changed jobs with the lowest ids first.

Change: Cell::m_lastTaken; the next commit goes on behind it and round. Read beside it: routes (each changes once), removals (nobody waits for them), the queue (its order is the policy).

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -212,6 +212,10 @@
    *  (LeaveQueueIfIdle), and an occurrence only ends once no task is ready. */
   std::set<QueueKey> m_queue;
   std::set<JobId> m_dirty;  ///< Jobs with m_version > m_storedVersion.
+  /** Job that the last commit took last. The next one goes on behind it and
+   *  round, so each changed job is taken before any is taken twice, also while
+   *  more jobs change than one commit holds. */
+  JobId m_lastTaken;
   /** Next due time of each scheduled job. */
   std::set<std::pair<UnixMillis, JobId>> m_scheduled;
   /** By end time, for removal after m_statusRetention. */
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -126,8 +126,11 @@
   size_t tasks = 0;
   while (!aCell.m_dirty.empty() && rows + kRowsPerJob <= aMaxRows &&
          tasks < kMaxTasksPerCommit) {
-    const JobId id = *aCell.m_dirty.begin();
-    aCell.m_dirty.erase(aCell.m_dirty.begin());
+    auto next = aCell.m_dirty.upper_bound(aCell.m_lastTaken);
+    if (next == aCell.m_dirty.end()) next = aCell.m_dirty.begin();
+    const JobId id = *next;
+    aCell.m_dirty.erase(next);
+    aCell.m_lastTaken = id;
     const auto found = aCell.m_jobs.find(id);
     if (found == aCell.m_jobs.end()) continue;
     const Job& job = found->second;
--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -402,6 +402,25 @@
   BOOST_TEST(TakeCommit(m_cell, 10, m_now).m_removed.size() == 1U);
 }
 
+/** Guards against jobs that are neither accepted nor started while more jobs
+ *  change than one commit holds: commits took the lowest ids first. */
+BOOST_AUTO_TEST_CASE(EachChangedJobIsCommittedInTurn) {
+  constexpr uint64_t kJobs = 8;
+  constexpr size_t kRowsOfFourJobs = 8;
+  for (uint64_t id = 1; id <= kJobs; ++id) {
+    BOOST_REQUIRE(SubmitJob(m_cell, Spec(id), m_now, m_unixNow).has_value());
+  }
+  std::set<JobId> written;
+  for (int commits = 0; commits < 3; ++commits) {
+    const Commit commit = TakeCommit(m_cell, kRowsOfFourJobs, m_now);
+    for (const JobWrite& write : commit.m_writes) written.insert(write.m_job);
+    ApplyCommitted(m_cell, commit, m_now);
+    // All jobs change again before the next commit.
+    for (const auto& [id, job] : m_cell.m_jobs) m_cell.m_dirty.insert(id);
+  }
+  BOOST_TEST(written.size() == kJobs);
+}
+
 /** Guards against a scheduled job that begins too early, or twice. */
 BOOST_AUTO_TEST_CASE(OccurrencesBeginAtTheirTimes) {
   AddRunner("a");
