sched: the stop of a superseded run is repeated until it is answered

Change: SupersededRun::m_stopAnswered decides on repeating, m_decidedAt on what a report shows.

Evidence: LostStopOfASupersededRunIsRepeated fails before the change and passes now.

--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -387,7 +387,7 @@
   Runner& runner = aCell.m_runners[aRunner.Value()];
   if (!runner.m_contacted) return;
   for (SupersededRun& run : runner.m_supersededRuns) {
-    if (run.m_decidedAt || aNow - run.m_stopOrderedAt <= kStopRepeat) {
+    if (run.m_stopAnswered || aNow - run.m_stopOrderedAt <= kStopRepeat) {
       continue;
     }
     run.m_stopOrderedAt = aNow;
@@ -403,6 +403,7 @@
   SupersededRun* superseded =
       FindSupersededRun(aCell.m_runners[aOrder.m_runner.Value()], aOrder);
   if (superseded != nullptr && aOutcome == OrderOutcome::Applied) {
+    superseded->m_stopAnswered = true;
     superseded->m_decidedAt = aNow;
   }
   const TaskPlace place = FindTask(aCell, aOrder.m_task);
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -112,7 +112,7 @@
   if (aTask.m_phase == TaskPhase::Intended) return;
   ++aCell.m_counts.m_stops;
   aCell.m_orders.emplace_back(StopOrder{aKey, aTask.m_run, aTask.m_runner});
-  SupersededRun run{aKey, aTask.m_run, aNow, {}};
+  SupersededRun run{aKey, aTask.m_run, aNow, false, {}};
   if (aTask.m_phase == TaskPhase::Running) run.m_decidedAt = aTask.m_phaseSince;
   aCell.m_runners[aTask.m_runner.Value()].m_supersededRuns.push_back(run);
 }
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -88,9 +88,9 @@
   TaskKey m_task;
   RunNumber m_run;
   TimePoint m_stopOrderedAt;
+  bool m_stopAnswered = false;  ///< Else the stop is repeated.
   /** When its start or its stop was answered. A report that was requested later
-   *  and lacks it shows that it has ended, as it cannot begin any more. Not
-   * set: the stop has to be repeated. */
+   *  and lacks it shows that it has ended, as it cannot begin any more. */
   std::optional<TimePoint> m_decidedAt;
 };
 
--- a/tests/core/sched/runner_instance_test.cpp
+++ b/tests/core/sched/runner_instance_test.cpp
@@ -308,6 +308,30 @@
   BOOST_TEST(StartAll().size() == 1U);
 }
 
+/** Guards against a superfluous run that goes on because its stop was lost. */
+BOOST_AUTO_TEST_CASE(LostStopOfASupersededRunIsRepeated) {
+  const RunnerIndex first = AddRunner("a", 4000);
+  Submit(Spec(1));
+  BOOST_REQUIRE(StartAll().size() == 1U);
+  BOOST_REQUIRE(NextRenewal(m_cell, first, m_now).has_value());
+  ApplyRenewalFailure(m_cell, first, OrderOutcome::Unknown, m_now);
+  RemoveRunner(m_cell, RunnerId("a"));
+  AdvanceTime(seconds(11));
+  AdvanceRunners(m_cell, m_now);
+  const RunnerIndex second = AddRunner("b", 4000);
+  BOOST_REQUIRE(StartAll().size() == 1U);
+  Report(
+      first, {},
+      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  const auto stops = Take<StopOrder>();
+  BOOST_REQUIRE(stops.size() == 1U);
+  ApplyStopAnswer(m_cell, stops[0], OrderOutcome::Unknown, m_now);
+  AdvanceTime(seconds(1));
+  Report(second, {{{JobId(1), 0, 0, 0}, RunNumber(2), "", 50, 0}}, {});
+  AdvanceRunners(m_cell, m_now);
+  BOOST_TEST(Take<StopOrder>().size() == 1U);
+}
+
 /** Guards against ends that are never acknowledged while answers are slow: the
  *  next renewal waited until the last report was too old for that, so a runner
  *  with a full list showed no further ends (found by sched_property_test). */
