--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -470,43 +470,6 @@
   BOOST_TEST(StartAll().empty());
 }
 
-/** Guards against a second run of tasks that have ended: after a takeover their
- *  runner had more ends than it lists at a time (review/3). */
-BOOST_AUTO_TEST_CASE(RunWithoutAListedEndIsKeptWhileEndsAreMissing) {
-  constexpr uint32_t kTasks = 4;
-  AddRunner("a");
-  Submit(Spec(1, kTasks));
-  BOOST_REQUIRE(StartAll().size() == kTasks);
-  TakeOver();
-  RunnerEntry entry;
-  entry.m_id = RunnerId("a");
-  entry.m_service = ServiceId("pool");
-  entry.m_address = "127.0.0.1:1";
-  entry.m_capacity = {Millicores(64000), Mebibytes(256000), Accelerators()};
-  const RunnerIndex runner = UpdateRunner(m_cell, entry, m_now);
-  RunnerReport report;
-  report.m_clock = RunnerMillis(30000);
-  const auto addEnd = [&report](uint32_t aIndex) {
-    report.m_ended.push_back({EndNumber(aIndex + 1),
-                              {JobId(1), 0, 0, aIndex},
-                              RunNumber(1),
-                              EndKind::Done,
-                              ""});
-  };
-  addEnd(0);
-  addEnd(1);
-  ApplyReport(m_cell, runner, report, m_now, m_now);
-  BOOST_TEST(StartAll().empty());
-  BOOST_TEST((TaskOf(1, 2).m_phase == TaskPhase::Recovering));
-  // Once all ends are listed, a run that is not among them is lost.
-  addEnd(2);
-  report.m_allEndsListed = true;
-  ApplyReport(m_cell, runner, report, m_now, m_now);
-  const auto starts = StartAll();
-  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
-  BOOST_TEST(starts[0].m_task.m_index == 3U);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
--- a/tests/core/sched/runner_instance_test.cpp
+++ b/tests/core/sched/runner_instance_test.cpp
@@ -10,7 +10,25 @@
 
 namespace bronze::sched {
 
-BOOST_FIXTURE_TEST_SUITE(RunnerInstanceSuite, CellFixture)
+namespace {
+
+struct RunnerInstanceFixture : CellFixture {
+  /** Starts job 1 on the runner, which is then cut off for longer than its
+   * lease and leaves the list, so that the task waits again. */
+  void StartAndLoseRun(RunnerIndex aRunner) {
+    Submit(Spec(1));
+    BOOST_REQUIRE(StartAll().size() == 1U);
+    BOOST_REQUIRE(NextRenewal(m_cell, aRunner, m_now).has_value());
+    ApplyRenewalFailure(m_cell, aRunner, OrderOutcome::Unknown, m_now);
+    RemoveRunner(m_cell, m_cell.m_runners[aRunner.Value()].m_entry.m_id);
+    AdvanceTime(seconds(11));
+    AdvanceRunners(m_cell, m_now);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RunnerInstanceSuite, RunnerInstanceFixture)
 
 /** Guards against a second run while a runner that a new owner cannot reach
  *  may still execute the first. */
@@ -275,13 +293,7 @@
  *  a report lacked it (found by sched_property_test). */
 BOOST_AUTO_TEST_CASE(SupersededRunHoldsItsRoomUntilItsStopIsAnswered) {
   const RunnerIndex first = AddRunner("a", 4000);
-  Submit(Spec(1));
-  BOOST_REQUIRE(StartAll().size() == 1U);
-  BOOST_REQUIRE(NextRenewal(m_cell, first, m_now).has_value());
-  ApplyRenewalFailure(m_cell, first, OrderOutcome::Unknown, m_now);
-  RemoveRunner(m_cell, RunnerId("a"));
-  AdvanceTime(seconds(11));
-  AdvanceRunners(m_cell, m_now);
+  StartAndLoseRun(first);
   const RunnerIndex second = AddRunner("b", 4000);
   PlaceTasks(m_cell, m_now);
   CommitAll();
@@ -311,13 +323,7 @@
 /** Guards against a superfluous run that goes on because its stop was lost. */
 BOOST_AUTO_TEST_CASE(LostStopOfASupersededRunIsRepeated) {
   const RunnerIndex first = AddRunner("a", 4000);
-  Submit(Spec(1));
-  BOOST_REQUIRE(StartAll().size() == 1U);
-  BOOST_REQUIRE(NextRenewal(m_cell, first, m_now).has_value());
-  ApplyRenewalFailure(m_cell, first, OrderOutcome::Unknown, m_now);
-  RemoveRunner(m_cell, RunnerId("a"));
-  AdvanceTime(seconds(11));
-  AdvanceRunners(m_cell, m_now);
+  StartAndLoseRun(first);
   const RunnerIndex second = AddRunner("b", 4000);
   BOOST_REQUIRE(StartAll().size() == 1U);
   Report(
@@ -353,6 +359,43 @@
   BOOST_TEST(renewal->m_lastSeen.Value() == 1U);
 }
 
+/** Guards against a second run of tasks that have ended: after a takeover their
+ *  runner had more ends than it lists at a time (review/3). */
+BOOST_AUTO_TEST_CASE(RunWithoutAListedEndIsKeptWhileEndsAreMissing) {
+  constexpr uint32_t kTasks = 4;
+  AddRunner("a");
+  Submit(Spec(1, kTasks));
+  BOOST_REQUIRE(StartAll().size() == kTasks);
+  TakeOver();
+  RunnerEntry entry;
+  entry.m_id = RunnerId("a");
+  entry.m_service = ServiceId("pool");
+  entry.m_address = "127.0.0.1:1";
+  entry.m_capacity = {Millicores(64000), Mebibytes(256000), Accelerators()};
+  const RunnerIndex runner = UpdateRunner(m_cell, entry, m_now);
+  RunnerReport report;
+  report.m_clock = RunnerMillis(30000);
+  const auto addEnd = [&report](uint32_t aIndex) {
+    report.m_ended.push_back({EndNumber(aIndex + 1),
+                              {JobId(1), 0, 0, aIndex},
+                              RunNumber(1),
+                              EndKind::Done,
+                              ""});
+  };
+  addEnd(0);
+  addEnd(1);
+  ApplyReport(m_cell, runner, report, m_now, m_now);
+  BOOST_TEST(StartAll().empty());
+  BOOST_TEST((TaskOf(1, 2).m_phase == TaskPhase::Recovering));
+  // Once all ends are listed, a run that is not among them is lost.
+  addEnd(2);
+  report.m_allEndsListed = true;
+  ApplyReport(m_cell, runner, report, m_now, m_now);
+  const auto starts = StartAll();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+  BOOST_TEST(starts[0].m_task.m_index == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
