--- a/spec/cell.pml
+++ b/spec/cell.pml
@@ -13,10 +13,11 @@
  * run starts after the task's end is stored. That each task ends is checked by
  * sched_property_test; this model has too few versions for it.
  *
- * Not modelled: the unresponsive runners in the owner row, the horizon of leases
- * (platform.md, section 2), which bounds what a former owner renews, and a start accepted by a new instance of a runner before it has
- * seen any token: no sender can prevent that, so a runner restarts here only
- * while no start to it is pending.
+ * Not modelled: the unresponsive runners in the owner row, the horizon of
+ * leases (platform.md, section 2), which bounds what a former owner renews,
+ * and a start accepted by a new instance of a runner before it has seen any
+ * token: no sender can prevent that, so a runner restarts here only while no
+ * start to it is pending.
  */
 
 #ifndef LEASE
