sched: one look-up of a superseded run

Found when the change was read again: ApplyRunning searched the superseded runs with a loop of its own beside FindSupersededRun. Both call that now. Behaviour is unchanged: sched_cell_test, sched_property_test, sched_move_property_test and scheduler_store_test pass, lint and format too.

--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -373,16 +373,16 @@
   Requeue(aCell, aOrder.m_task, place, aNow);
 }
 
-namespace {
-
-/** @return the superseded run that the order stops; null if it is none. */
-SupersededRun* FindSupersededRun(Runner& aRunner, const StopOrder& aOrder) {
+SupersededRun* FindSupersededRun(Runner& aRunner, const TaskKey& aTask,
+                                 RunNumber aRun) {
   for (SupersededRun& run : aRunner.m_supersededRuns) {
-    if (run.m_task == aOrder.m_task && run.m_run == aOrder.m_run) return &run;
+    if (run.m_task == aTask && run.m_run == aRun) return &run;
   }
   return nullptr;
 }
 
+namespace {
+
 void RepeatStopsOfSuperseded(Cell& aCell, RunnerIndex aRunner, TimePoint aNow) {
   Runner& runner = aCell.m_runners[aRunner.Value()];
   if (!runner.m_contacted) return;
@@ -400,8 +400,8 @@
 
 void ApplyStopAnswer(Cell& aCell, const StopOrder& aOrder,
                      OrderOutcome aOutcome, TimePoint aNow) {
-  SupersededRun* superseded =
-      FindSupersededRun(aCell.m_runners[aOrder.m_runner.Value()], aOrder);
+  SupersededRun* superseded = FindSupersededRun(
+      aCell.m_runners[aOrder.m_runner.Value()], aOrder.m_task, aOrder.m_run);
   if (superseded != nullptr && aOutcome == OrderOutcome::Applied) {
     superseded->m_stopAnswered = true;
     superseded->m_decidedAt = aNow;
--- a/src/core/sched/runner_internal.h
+++ b/src/core/sched/runner_internal.h
@@ -19,6 +19,11 @@
  *  ended, and the new instance refuses orders addressed to the old one. */
 void EndInstance(Cell& aCell, Runner& aRunner, TimePoint aNow);
 
+/** @return the superseded run of that number; null if there is none. */
+[[nodiscard]] SupersededRun* FindSupersededRun(Runner& aRunner,
+                                               const TaskKey& aTask,
+                                               RunNumber aRun);
+
 /** Records that the runner has confirmed the current run of the task. */
 void ConfirmRun(Cell& aCell, const TaskPlace& aPlace, TimePoint aNow);
 
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -103,9 +103,9 @@
   }
 }
 
-/** Run aRun of the task, or of its gang, has succeeded: a later run elsewhere
- * is not needed. FinishTask releases its resources here, but on the runner they
- *  are in use until it has stopped. */
+/** Run aRun of the task, or of its gang, has succeeded, so another one is not
+ *  needed. FinishTask releases its resources here, but on the runner they are
+ * in use until it has stopped. */
 void SupersedeOtherRun(Cell& aCell, const TaskKey& aKey, const Task& aTask,
                        RunNumber aRun, TimePoint aNow) {
   if (!HasPlace(aTask.m_phase) || aTask.m_run == aRun) return;
@@ -185,12 +185,7 @@
       place.m_task->m_runner == aIndex && place.m_task->m_run == aRow.m_run;
   if (!isCurrent) {
     Runner& runner = aCell.m_runners[aIndex.Value()];
-    const bool stopped = std::any_of(
-        runner.m_supersededRuns.begin(), runner.m_supersededRuns.end(),
-        [&](const SupersededRun& aRun) {
-          return aRun.m_task == aRow.m_task && aRun.m_run == aRow.m_run;
-        });
-    if (stopped) return;
+    if (FindSupersededRun(runner, aRow.m_task, aRow.m_run) != nullptr) return;
     // No stored state asks for this run: an order was executed late, or the
     // task has ended since.
     ++aCell.m_counts.m_stops;
