sched: the clock in the answer to a start shows a restarted runner

The owner took the answer as one of the instance that it knew, and acknowledged that one's ends.

Ruled out: to acknowledge only on a report that was requested after the last answered start (costs one more call to the runner for nearly each end, as an end makes room for the next start).

Change: each answer carries the runner's clock, which starts at zero. The answer to a start is handed on with it. If it is over 5 s behind the last report, which no delay of an answer explains, the owner begins with a new instance, as it does when a report or the list shows one.

Related paths read: answers to stops and paces (they begin no run); renewals (carry the start time of the instance); answers that overtake each other (bounded by the time-out of an order, 0.6 s, and tested).

--- a/bench/sched_bench.cpp
+++ b/bench/sched_bench.cpp
@@ -96,7 +96,7 @@
     }
     m_cell.m_orders.clear();
     for (const StartOrder& start : starts) {
-      ApplyStartAnswer(m_cell, start, OrderOutcome::Applied, m_now);
+      ApplyStartAnswer(m_cell, start, OrderOutcome::Applied, {}, m_now);
     }
     return starts;
   }
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -32,8 +32,11 @@
 /** Minimum interval of renewals while ends wait for a commit. */
 constexpr Duration kUnstoredRenewalInterval = milliseconds(500);
 /** Ends are acknowledged only within this time after the last report was made.
- *  A runner that restarts needs longer than this to answer a start. */
+ *  A restart since then shows in the answers to starts (IsNewInstanceClock),
+ *  unless the runner restarts twice within kMaxAnswerDelay. */
 constexpr Duration kAckMaxReportAge = milliseconds(200);
+/** An answer that is read after newer ones is older than these by less. */
+constexpr RunnerMillis kMaxAnswerDelay(5000);
 /** After its lease has ended, a runner that cannot be reached but is listed has
  *  this much time to report how its runs ended. Cuts between an owner and
  * single runners usually last less than a lease and this time together. */
@@ -355,8 +358,18 @@
   }
 }
 
+namespace {
+
+/** Whether a clock is that of a new instance, which starts at zero. */
+bool IsNewInstanceClock(const Runner& aRunner, RunnerMillis aClock) {
+  return aRunner.m_contacted && aClock + kMaxAnswerDelay < aRunner.m_clock;
+}
+
+}  // namespace
+
 void ApplyStartAnswer(Cell& aCell, const StartOrder& aOrder,
-                      OrderOutcome aOutcome, TimePoint aNow) {
+                      OrderOutcome aOutcome, std::optional<RunnerMillis> aClock,
+                      TimePoint aNow) {
   if (aCell.m_window.m_inFlight > 0) --aCell.m_window.m_inFlight;
   aCell.m_capacityChanged = aCell.m_capacityChanged || aCell.m_window.m_wasFull;
   aCell.m_window.m_wasFull = false;
@@ -368,6 +381,14 @@
     NoteAnswer(aCell.m_window, aNow - task.m_phaseSince, aNow);
   }
   Runner& runner = aCell.m_runners[aOrder.m_runner.Value()];
+  if (aClock && IsNewInstanceClock(runner, *aClock)) {
+    LogDecision(aCell, fmt::format("runner has restarted, by its clock "
+                                   "runner={} clock_ms={} before_ms={}",
+                                   runner.m_entry.m_id.Value(), aClock->Value(),
+                                   runner.m_clock.Value()));
+    BeginNewInstance(aCell, runner, aNow);
+    return;
+  }
   switch (aOutcome) {
     case OrderOutcome::Applied:
       ConfirmRun(aCell, place, aNow);
--- a/src/core/sched/runner_cmd.h
+++ b/src/core/sched/runner_cmd.h
@@ -74,8 +74,10 @@
 void ApplyRenewalFailure(Cell& aCell, RunnerIndex aRunner,
                          OrderOutcome aOutcome, TimePoint aNow);
 
+/** @param aClock the runner's clock when it answered; empty: unknown. */
 void ApplyStartAnswer(Cell& aCell, const StartOrder& aOrder,
-                      OrderOutcome aOutcome, TimePoint aNow);
+                      OrderOutcome aOutcome, std::optional<RunnerMillis> aClock,
+                      TimePoint aNow);
 
 void ApplyStopAnswer(Cell& aCell, const StopOrder& aOrder,
                      OrderOutcome aOutcome, TimePoint aNow);
--- a/src/platform/json_reader.h
+++ b/src/platform/json_reader.h
@@ -18,6 +18,9 @@
 /** More deeply nested input is refused by the parser. */
 inline constexpr size_t kMaxJsonDepth = 16;
 
+/** Largest integer that a JSON number holds exactly. */
+inline constexpr int64_t kMaxExact = int64_t{1} << 53;
+
 /** Parses a text that holds one JSON value. */
 [[nodiscard]] Result<boost::json::value> ParseJson(std::string_view aText);
 
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -64,6 +64,17 @@
   return OrderOutcome::RefusedOther;
 }
 
+std::optional<sched::RunnerMillis> ClockOf(const CallOutcome& aOutcome) {
+  if (aOutcome.m_stage != CallStage::CompleteReply) return {};
+  const auto body = ParseJson(aOutcome.m_reply.m_body);
+  if (!body) return {};
+  JsonReader reader(body.value());
+  reader.Require("clock_ms");
+  const int64_t clock = reader.Integer("clock_ms", 0, 0, kMaxExact);
+  if (reader.Failed()) return {};
+  return sched::RunnerMillis(clock);
+}
+
 std::string ErrorOf(const CallOutcome& aOutcome) {
   if (aOutcome.m_stage == CallStage::CompleteReply) {
     return std::to_string(aOutcome.m_reply.m_status);
@@ -73,7 +84,7 @@
 
 auto OrderHandler(std::function<void(OrderAnswer)> aHandler) {
   return [handler = std::move(aHandler)](CallOutcome aOutcome) {
-    handler({OutcomeOf(aOutcome), ErrorOf(aOutcome)});
+    handler({OutcomeOf(aOutcome), ClockOf(aOutcome), ErrorOf(aOutcome)});
   };
 }
 
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -27,8 +27,6 @@
 
 constexpr int64_t kMaxCount = 1'000'000;
 constexpr int64_t kMaxAmount = int64_t{1} << 40;
-/** Largest integer that a JSON number holds exactly. */
-constexpr int64_t kMaxExact = int64_t{1} << 53;
 constexpr size_t kMaxPayloadBytes = 4000;
 
 Resources ReadResources(JsonReader& aReader) {
--- a/src/scheduler/cell_owner_orders.cpp
+++ b/src/scheduler/cell_owner_orders.cpp
@@ -43,7 +43,8 @@
   // Checked right before each start: this VM may have been suspended for so
   // long that another daemon schedules the cell by now.
   if (!MayStart(now)) {
-    sched::ApplyStartAnswer(m_cell, aOrder, sched::OrderOutcome::NotSent, now);
+    sched::ApplyStartAnswer(m_cell, aOrder, sched::OrderOutcome::NotSent, {},
+                            now);
     return;
   }
   sched::Runner& runner = m_cell.m_runners[aOrder.m_runner.Value()];
@@ -68,7 +69,7 @@
                             aOrder.m_run.Value(), aAnswer.m_error);
         }
         sched::ApplyStartAnswer(self->m_cell, aOrder, aAnswer.m_outcome,
-                                BootNow());
+                                aAnswer.m_clock, BootNow());
         self->RequestPass();
       });
 }
--- a/tests/core/sched/cell_fixture.h
+++ b/tests/core/sched/cell_fixture.h
@@ -80,7 +80,7 @@
     CommitAll();
     std::vector<StartOrder> starts = Take<StartOrder>();
     for (const StartOrder& start : starts) {
-      ApplyStartAnswer(m_cell, start, aOutcome, m_now);
+      ApplyStartAnswer(m_cell, start, aOutcome, {}, m_now);
     }
     return starts;
   }
--- a/tests/core/sched/cell_property_test.cpp
+++ b/tests/core/sched/cell_property_test.cpp
@@ -61,7 +61,7 @@
 /** Guards against a start after an end that was acknowledged unread: a late
  *  renewal to an earlier instance of the runner dropped it. */
 BOOST_AUTO_TEST_CASE(RulesHoldWithLateAcknowledgements) {
-  CheckSeeds({208332});
+  CheckSeeds({208332, 407981});
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/sched/cell_simulation.cpp
+++ b/tests/core/sched/cell_simulation.cpp
@@ -318,20 +318,26 @@
   for (const sched::Order& order : orders) {
     if (const auto* start = std::get_if<StartOrder>(&order)) {
       if (m_now - aOwner->m_lastCommitSentAt >= kAuthorityDuration) {
-        ApplyStartAnswer(aOwner->m_cell, *start, OrderOutcome::NotSent, m_now);
+        ApplyStartAnswer(aOwner->m_cell, *start, OrderOutcome::NotSent, {},
+                         m_now);
         continue;
       }
       const RunnerMillis deadline = OrderDeadline(
           aOwner->m_cell, aOwner->m_cell.m_runners[start->m_runner.Value()],
           m_now);
+      const auto clock = std::make_shared<RunnerMillis>();
       Order(
           aOwner, start->m_runner,
-          [this, wanted = *start, fence = fenceOf(start->m_runner),
-           deadline](SimulatedRunner& aRunner) {
+          [this, wanted = *start, fence = fenceOf(start->m_runner), deadline,
+           clock](SimulatedRunner& aRunner) {
+            *clock = ClockOf(aRunner);
             return ExecuteStart(aRunner, wanted, fence, deadline);
           },
-          [this, aOwner, wanted = *start](OrderOutcome aOutcome) {
-            ApplyStartAnswer(aOwner->m_cell, wanted, aOutcome, m_now);
+          [this, aOwner, wanted = *start, clock](OrderOutcome aOutcome) {
+            const auto told = aOutcome == OrderOutcome::Unknown
+                                  ? std::optional<RunnerMillis>()
+                                  : *clock;
+            ApplyStartAnswer(aOwner->m_cell, wanted, aOutcome, told, m_now);
           });
     } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
       Order(
--- a/tests/core/sched/order_window_test.cpp
+++ b/tests/core/sched/order_window_test.cpp
@@ -27,7 +27,7 @@
   CommitAll();
   BOOST_TEST(Take<StartOrder>().empty());
   for (size_t at = 0; at < 4; ++at) {
-    ApplyStartAnswer(m_cell, starts[at], OrderOutcome::Applied, m_now);
+    ApplyStartAnswer(m_cell, starts[at], OrderOutcome::Applied, {}, m_now);
   }
   PlaceTasks(m_cell, m_now);
   CommitAll();
--- a/tests/core/sched/runner_instance_test.cpp
+++ b/tests/core/sched/runner_instance_test.cpp
@@ -380,13 +380,53 @@
   const auto during = NextRenewal(m_cell, runner, m_now);
   BOOST_REQUIRE(during.has_value());
   BOOST_TEST(during->m_lastSeen.Value() == 0U);
-  ApplyStartAnswer(m_cell, starts[0], OrderOutcome::Applied, m_now);
+  ApplyStartAnswer(m_cell, starts[0], OrderOutcome::Applied, {}, m_now);
   Report(runner, {{{JobId(2), 0, 0, 0}, RunNumber(1), "", 10, 0}}, {});
   const auto after = NextRenewal(m_cell, runner, m_now);
   BOOST_REQUIRE(after.has_value());
   BOOST_TEST(after->m_lastSeen.Value() == 1U);
 }
 
+/** Guards against a second run of a task whose end nobody has read: the new
+ *  instance of a runner had answered a start before its list of ends was read
+ *  (found by sched_property_test, seed 407981). */
+BOOST_AUTO_TEST_CASE(AnswerOfANewInstanceEndsTheEarlierOne) {
+  const RunnerIndex runner = AddRunner("a");
+  Submit(Spec(1));
+  BOOST_REQUIRE(StartAll().size() == 1U);
+  Report(
+      runner, {},
+      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  Submit(Spec(2));
+  PlaceTasks(m_cell, m_now);
+  CommitAll();
+  const auto starts = Take<StartOrder>();
+  BOOST_REQUIRE(starts.size() == 1U);
+  ApplyStartAnswer(m_cell, starts[0], OrderOutcome::Applied, RunnerMillis(10),
+                   m_now);
+  BOOST_TEST((TaskOf(2).m_phase == TaskPhase::Recovering));
+  m_cell.m_newestFence = FencingToken(20);
+  const auto renewal = NextRenewal(m_cell, runner, m_now);
+  BOOST_REQUIRE(renewal.has_value());
+  BOOST_TEST(renewal->m_lastSeen.Value() == 0U);
+}
+
+/** Guards against a runner that is taken as restarted because answers on its
+ *  connections overtake each other. */
+BOOST_AUTO_TEST_CASE(AnswerThatIsReadLateIsOfTheSameInstance) {
+  AddRunner("a");
+  Submit(Spec(1));
+  PlaceTasks(m_cell, m_now);
+  CommitAll();
+  const auto starts = Take<StartOrder>();
+  BOOST_REQUIRE(starts.size() == 1U);
+  const RunnerMillis clock =
+      m_cell.m_runners[starts[0].m_runner.Value()].m_clock;
+  ApplyStartAnswer(m_cell, starts[0], OrderOutcome::Applied,
+                   clock - RunnerMillis(600), m_now);
+  BOOST_TEST((TaskOf(1).m_phase == TaskPhase::Running));
+}
+
 /** Guards against acknowledged ends that nobody has read: an owner that was
  *  suspended reads a report of an instance that has ended since. */
 BOOST_AUTO_TEST_CASE(NoEndIsAcknowledgedAfterAReportThatIsReadLate) {
--- a/tests/core/sched/urgency_test.cpp
+++ b/tests/core/sched/urgency_test.cpp
@@ -34,8 +34,8 @@
   CommitAll();
   const auto starts = Take<StartOrder>();
   BOOST_REQUIRE_EQUAL(starts.size(), 3U);
-  ApplyStartAnswer(m_cell, starts[0], OrderOutcome::Applied, m_now);
-  ApplyStartAnswer(m_cell, starts[1], OrderOutcome::RefusedRoom, m_now);
+  ApplyStartAnswer(m_cell, starts[0], OrderOutcome::Applied, {}, m_now);
+  ApplyStartAnswer(m_cell, starts[1], OrderOutcome::RefusedRoom, {}, m_now);
   const auto stops = Take<StopOrder>();
   BOOST_TEST(stops.size() == 2U);
   BOOST_TEST((TaskOf(1, 0).m_phase == TaskPhase::Stopping));
