--- a/src/core/sched/lease_func.h
+++ b/src/core/sched/lease_func.h
@@ -30,8 +30,8 @@
 [[nodiscard]] Duration LeaseReach(Duration aLease);
 
 /** @return the local time by which a lease has ended that the instance took
- * from an order to an earlier one. Such a lease end is on another clock, so
- * only the runner's maximum limits the lease.
+ *  from an order to an earlier one. Such a lease end is on another clock, so
+ *  only the runner's maximum limits the lease.
  *  @param aStartedAt start time of the instance; 0: unknown. */
 [[nodiscard]] TimePoint MisdirectedLeaseEnd(UnixMillis aStartedAt,
                                             Duration aLeaseCap, TimePoint aNow,
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <initializer_list>
 
 #include "core/sched/advice_cmd.h"
 #include "core/sched/lease_func.h"
