tests: a failed system test prints how its processes ended

Nothing showed which process had ended or why, as the logs stayed on the machine.

Cause of that failure: unknown.

Change: after a failure the fixture prints whether each process runs, its exit code or signal, and the end of its log (tried with a daemon that was ended by a signal).

--- a/tests/system/system_fixture.cpp
+++ b/tests/system/system_fixture.cpp
@@ -11,8 +11,10 @@
 #include <boost/process/io.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <deque>
 #include <exception>
 #include <fstream>
+#include <iostream>
 #include <thread>
 
 #include "net/address_func.h"
@@ -46,6 +48,31 @@
   return aLine.substr(from, aLine.find(' ', from) - from);
 }
 
+/** @return whether the process has ended, and how. */
+std::string StateText(bp::child& aChild) {
+  std::error_code ignored;
+  if (aChild.running(ignored)) return "is running";
+  const int status = aChild.native_exit_code();
+  if (WIFSIGNALED(status)) {
+    return fmt::format("has ended by signal {}", WTERMSIG(status));
+  }
+  return fmt::format("has ended with exit code {}", WEXITSTATUS(status));
+}
+
+/** Prints whether the process has ended, how, and the end of its log. */
+void PrintProcess(const std::string& aName, bp::child& aChild,
+                  const std::filesystem::path& aLog) {
+  constexpr size_t kPrintedLines = 15;
+  std::cerr << aName << " " << StateText(aChild) << "; the end of its log:\n";
+  std::deque<std::string> lines;
+  std::ifstream file(aLog);
+  for (std::string line; std::getline(file, line);) {
+    lines.push_back(line);
+    if (lines.size() > kPrintedLines) lines.pop_front();
+  }
+  for (const std::string& line : lines) std::cerr << "  " << line << "\n";
+}
+
 constexpr char kConfiguration[] = R"(request:
   kinds:
     check: {class: short, idempotent: true}
@@ -76,6 +103,7 @@
 }
 
 SystemFixture::~SystemFixture() {
+  if (std::uncaught_exceptions() > 0) PrintProcesses();
   for (auto& [vm, process] : m_daemons) {
     std::error_code ignored;
     if (process.m_child) process.m_child->terminate(ignored);
@@ -89,6 +117,15 @@
   std::filesystem::remove_all(m_folder, ignored);
 }
 
+void SystemFixture::PrintProcesses() {
+  if (m_standin) {
+    PrintProcess("stand-in", *m_standin, m_folder / "standin.log");
+  }
+  for (auto& [vm, process] : m_daemons) {
+    if (process.m_child) PrintProcess(vm, *process.m_child, process.m_log);
+  }
+}
+
 void SystemFixture::StartStandin(const std::vector<std::string>& aOptions) {
   const auto out = m_folder / "standin.out";
   m_standin = std::make_unique<bp::child>(
