sched: one place adds the order of a stop

AddStopOrder now does both for OrderStop, for superseded runs (first and repeated stop) and for unknown runs. Ruled out: to call OrderStop, which also changes the task's state. No change of behaviour.

--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -296,8 +296,7 @@
       continue;
     }
     run.m_stopOrderedAt = aNow;
-    ++aCell.m_counts.m_stops;
-    aCell.m_orders.emplace_back(StopOrder{run.m_task, run.m_run, aRunner});
+    AddStopOrder(aCell, run.m_task, run.m_run, aRunner);
   }
 }
 
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -117,8 +117,7 @@
                        RunNumber aRun, TimePoint aNow) {
   if (!HasPlace(aTask.m_phase) || aTask.m_run == aRun) return;
   if (aTask.m_phase == TaskPhase::Intended) return;
-  ++aCell.m_counts.m_stops;
-  aCell.m_orders.emplace_back(StopOrder{aKey, aTask.m_run, aTask.m_runner});
+  AddStopOrder(aCell, aKey, aTask.m_run, aTask.m_runner);
   SupersededRun run{aKey, aTask.m_run, aNow, false, {}};
   if (aTask.m_phase == TaskPhase::Running) run.m_decidedAt = aTask.m_phaseSince;
   aCell.m_runners[aTask.m_runner.Value()].m_supersededRuns.push_back(run);
@@ -195,8 +194,7 @@
     if (FindSupersededRun(runner, aRow.m_task, aRow.m_run) != nullptr) return;
     // No stored state asks for this run: an order was executed late, or the
     // task has ended since.
-    ++aCell.m_counts.m_stops;
-    aCell.m_orders.emplace_back(StopOrder{aRow.m_task, aRow.m_run, aIndex});
+    AddStopOrder(aCell, aRow.m_task, aRow.m_run, aIndex);
     runner.m_hasUnknownRuns = true;
     return;
   }
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -251,11 +251,16 @@
   if (isLast) EndJob(aCell, job, JobPhase::Completed, aNow);
 }
 
+void AddStopOrder(Cell& aCell, const TaskKey& aKey, RunNumber aRun,
+                  RunnerIndex aRunner) {
+  ++aCell.m_counts.m_stops;
+  aCell.m_orders.emplace_back(StopOrder{aKey, aRun, aRunner});
+}
+
 void OrderStop(Cell& aCell, const TaskKey& aKey, Task& aTask, TimePoint aNow) {
   aTask.m_stopOrderedAt = aNow;
   aTask.m_stopAnswered = false;
-  ++aCell.m_counts.m_stops;
-  aCell.m_orders.emplace_back(StopOrder{aKey, aTask.m_run, aTask.m_runner});
+  AddStopOrder(aCell, aKey, aTask.m_run, aTask.m_runner);
 }
 
 void StopTask(Cell& aCell, const TaskKey& aKey, Task& aTask, TimePoint aNow) {
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -72,6 +72,10 @@
 void FinishTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
                 TimePoint aNow);
 
+/** Orders the runner to stop that run of the task, and counts it. */
+void AddStopOrder(Cell& aCell, const TaskKey& aKey, RunNumber aRun,
+                  RunnerIndex aRunner);
+
 /** Orders the runner to stop the current run. */
 void OrderStop(Cell& aCell, const TaskKey& aKey, Task& aTask, TimePoint aNow);
 
