platform: the clock is read only from answers to starts

Start now has the handler that reads it. Ruled out: to parse lazily in the core, which does not know the encoding. No change of behaviour.

--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -84,7 +84,7 @@
 
 auto OrderHandler(std::function<void(OrderAnswer)> aHandler) {
   return [handler = std::move(aHandler)](CallOutcome aOutcome) {
-    handler({OutcomeOf(aOutcome), ClockOf(aOutcome), ErrorOf(aOutcome)});
+    handler({OutcomeOf(aOutcome), {}, ErrorOf(aOutcome)});
   };
 }
 
@@ -129,7 +129,10 @@
   if (!aOrder.m_checkpoint.empty()) body["checkpoint"] = aOrder.m_checkpoint;
   if (!aOrder.m_ticket.empty()) body["ticket"] = aOrder.m_ticket;
   Post(aTarget, "/bronzeworks/run-start", json::serialize(body), kOrderTimeout,
-       OrderHandler(std::move(aHandler)), {false, std::move(aMayBegin)});
+       [handler = std::move(aHandler)](CallOutcome aOutcome) {
+         handler({OutcomeOf(aOutcome), ClockOf(aOutcome), ErrorOf(aOutcome)});
+       },
+       {false, std::move(aMayBegin)});
 }
 
 void RunnerClient::Stop(const RunnerTarget& aTarget,
--- a/src/platform/runner_client.h
+++ b/src/platform/runner_client.h
@@ -24,7 +24,7 @@
 
 struct OrderAnswer {
   sched::OrderOutcome m_outcome = sched::OrderOutcome::Unknown;
-  /** The runner's clock when it answered, if it has told it. */
+  /** The runner's clock when it answered a start, if it has told it. */
   std::optional<sched::RunnerMillis> m_clock;
   std::string m_error;  ///< HTTP status or error; for the log.
 };
