sched: whether a renewal is due is checked before the runner's tasks are read

NextRenewal runs for each runner in each tick. The check for a start that is under way, which looks up all tasks there, came before the comparisons of times that end most calls. Both only return, so that their order does not matter to callers. Also one unnamed namespace in place of two adjacent ones, and an empty line in an expression. No change of behaviour.

--- a/src/core/sched/runner_renewal_cmd.cpp
+++ b/src/core/sched/runner_renewal_cmd.cpp
@@ -86,19 +86,19 @@
                                         TimePoint aNow) {
   Runner& runner = aCell.m_runners[aRunner.Value()];
   if (runner.m_renewalPending || runner.m_entry.m_address.empty()) return {};
-  // A new instance numbers its ends from 1 again. If the runner has restarted
-  // since its last report, a renewal that acknowledges ends may reach the new
-  // instance at any later time and make it drop ends that nobody has read. So
-  // no run may begin there before: starts that are under way are awaited, and
-  // later ones have a higher fencing token, after which the renewal is refused.
   const bool acknowledges = runner.m_storedEnd > runner.m_acknowledgedEnd &&
                             IsReportRecent(runner, aNow);
-  if (acknowledges && IsStartUnderWay(aCell, runner)) return {};
   // Only right after a report can ends be acknowledged, and a runner lists
   // further ones only then. So this renewal does not wait for its turn.
   const bool isEarly =
       aNow - runner.m_renewalOrderedAt < RenewalSpacing(aCell.m_window);
   if (aNow < runner.m_nextRenewalAt || (isEarly && !acknowledges)) return {};
+  // A new instance numbers its ends from 1 again. If the runner has restarted
+  // since its last report, a renewal that acknowledges ends may reach the new
+  // instance at any later time and make it drop ends that nobody has read. So
+  // no run may begin there before: starts that are under way are awaited, and
+  // later ones have a higher fencing token, after which the renewal is refused.
+  if (acknowledges && IsStartUnderWay(aCell, runner)) return {};
   if (runner.m_awaitsFence && aCell.m_newestFence <= runner.m_fence) return {};
   const bool hasRuns = !runner.m_tasks.empty() || runner.m_hasUnknownRuns ||
                        !runner.m_supersededRuns.empty();
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -258,7 +258,6 @@
                              const RunnerReport& aReport, TimePoint aSentAt) {
   const auto ended = [&](const SupersededRun& aRun) {
     return aRun.m_decidedAt && *aRun.m_decidedAt <= aSentAt &&
-
            !IsListed(aReport, aRun.m_task, aRun.m_run);
   };
   if (std::erase_if(aRunner.m_supersededRuns, ended) > 0) {
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -203,10 +203,6 @@
   }
 }
 
-}  // namespace
-
-namespace {
-
 /** A task of the step has left TaskPhase::Ready. */
 void LeaveQueueIfIdle(Cell& aCell, const TaskKey& aKey,
                       const TaskPlace& aPlace) {
