tests: shared set-up of the tests for leases and restarted runners

Fixtures hold them now; each case keeps its checks, those of the shared lines are in the fixtures. Ruled out: to merge the cases, as each guards against a failure of its own.

--- a/tests/core/sched/lease_horizon_test.cpp
+++ b/tests/core/sched/lease_horizon_test.cpp
@@ -11,10 +11,28 @@
 
 namespace bronze::sched {
 
-BOOST_FIXTURE_TEST_SUITE(LeaseHorizonSuite, CellFixture)
-
 namespace {
 
+struct LeaseHorizonFixture : CellFixture {
+  /** Starts job 1, whose task lasts. @return its runner. */
+  RunnerIndex StartLongRunningTask() {
+    const RunnerIndex index = AddRunner("r1");
+    JobSpec spec = Spec(1);
+    spec.m_steps[0].m_longRunning = true;
+    Submit(spec);
+    BOOST_REQUIRE(StartAll().size() == 1U);
+    return index;
+  }
+
+  /** Gives a successor the stored job; its term has not begun. */
+  void RestoreCell() {
+    m_cell = Cell();
+    m_cell.m_fence = FencingToken(8);
+    RestoreJob(m_cell, m_specs.at(JobId(1)), m_states.at(JobId(1)), m_now,
+               m_unixNow);
+  }
+};
+
 /** @return when a lease that ends at that time of the runner's clock has ended,
  *          if that clock is as slow as the protocol allows. */
 TimePoint SlowestLeaseEnd(const Runner& aRunner, RunnerMillis aDeadline) {
@@ -26,15 +44,13 @@
 
 }  // namespace
 
+BOOST_FIXTURE_TEST_SUITE(LeaseHorizonSuite, LeaseHorizonFixture)
+
 /** Guards against a second run of a task that lasts, which began while the
  *  first went on under a lease from a former owner: it was suspended, and
  *  renewed the lease before it knew of its successor (review/2). */
 BOOST_AUTO_TEST_CASE(SuspendedOwnerExtendsNoLeaseBeyondItsHorizon) {
-  const RunnerIndex index = AddRunner("r1");
-  JobSpec spec = Spec(1);
-  spec.m_steps[0].m_longRunning = true;
-  Submit(spec);
-  BOOST_REQUIRE(StartAll().size() == 1U);
+  const RunnerIndex index = StartLongRunningTask();
   const Duration reach = LeaseReach(m_cell.m_settings.m_lease);
   const TimePoint heartbeatAt = m_now;
   m_cell.m_leaseHorizon = heartbeatAt + reach;
@@ -51,10 +67,7 @@
   }
 
   // The successor has no contact to the runner, and so waits for that long.
-  m_cell = Cell();
-  m_cell.m_fence = FencingToken(8);
-  RestoreJob(m_cell, m_specs.at(JobId(1)), m_states.at(JobId(1)), m_now,
-             m_unixNow);
+  RestoreCell();
   BeginTerm(m_cell, heartbeatAt + reach);
   m_now = heartbeatAt + reach;
   AdvanceRunners(m_cell, m_now);
@@ -69,11 +82,7 @@
  *  meant for the clock of the earlier one (sched_property_test, seed 106395).
  */
 BOOST_AUTO_TEST_CASE(SuccessorWaitsForTheLongestLeaseOfANewInstance) {
-  const RunnerIndex index = AddRunner("r1");
-  JobSpec spec = Spec(1);
-  spec.m_steps[0].m_longRunning = true;
-  Submit(spec);
-  BOOST_REQUIRE(StartAll().size() == 1U);
+  const RunnerIndex index = StartLongRunningTask();
   RunnerEntry entry = m_cell.m_runners[index.Value()].m_entry;
 
   struct Case {
@@ -87,10 +96,7 @@
   for (const Case& each : cases) {
     for (const bool listedFirst : {false, true}) {
       entry.m_startedAt = m_unixNow - each.m_age;
-      m_cell = Cell();
-      m_cell.m_fence = FencingToken(8);
-      RestoreJob(m_cell, m_specs.at(JobId(1)), m_states.at(JobId(1)), m_now,
-                 m_unixNow);
+      RestoreCell();
       if (listedFirst) UpdateRunner(m_cell, entry, m_now, m_unixNow);
       BeginTerm(m_cell, m_now + seconds(6));
       RestoreUnresponsiveRunner(m_cell, {entry.m_id, m_now + seconds(5)});
--- a/tests/core/sched/runner_instance_test.cpp
+++ b/tests/core/sched/runner_instance_test.cpp
@@ -24,6 +24,27 @@
     AdvanceTime(seconds(11));
     AdvanceRunners(m_cell, m_now);
   }
+
+  /** The runner reports that job 1 is done, as its first end. */
+  void ReportDone(RunnerIndex aRunner) {
+    Report(
+        aRunner, {},
+        {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  }
+
+  /** Job 1 ends on the runner, and is stored. @return the start of job 2 there,
+   *  which has no answer yet. */
+  StartOrder EndOneJobAndStartAnother(RunnerIndex aRunner) {
+    Submit(Spec(1));
+    BOOST_REQUIRE(StartAll().size() == 1U);
+    ReportDone(aRunner);
+    Submit(Spec(2));
+    PlaceTasks(m_cell, m_now);
+    CommitAll();
+    const auto starts = Take<StartOrder>();
+    BOOST_REQUIRE(starts.size() == 1U);
+    return starts[0];
+  }
 };
 
 }  // namespace
@@ -300,9 +321,7 @@
   BOOST_REQUIRE(Take<StartOrder>().size() == 1U);
 
   // The first run has succeeded; the start of the second has no answer yet.
-  Report(
-      first, {},
-      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  ReportDone(first);
   const auto stops = Take<StopOrder>();
   BOOST_REQUIRE(stops.size() == 1U);
   BOOST_TEST((stops[0].m_runner == second));
@@ -326,9 +345,7 @@
   StartAndLoseRun(first);
   const RunnerIndex second = AddRunner("b", 4000);
   BOOST_REQUIRE(StartAll().size() == 1U);
-  Report(
-      first, {},
-      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  ReportDone(first);
   const auto stops = Take<StopOrder>();
   BOOST_REQUIRE(stops.size() == 1U);
   ApplyStopAnswer(m_cell, stops[0], OrderOutcome::Unknown, m_now);
@@ -349,9 +366,7 @@
   AdvanceTime(seconds(2));
   BOOST_REQUIRE(NextRenewal(m_cell, runner, m_now).has_value());
   AdvanceTime(milliseconds(100));
-  Report(
-      runner, {},
-      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
+  ReportDone(runner);
   CommitAll();
   AdvanceTime(milliseconds(50));
   const auto renewal = NextRenewal(m_cell, runner, m_now);
@@ -365,22 +380,13 @@
  *  (found by sched_property_test, seed 208332). */
 BOOST_AUTO_TEST_CASE(NoEndIsAcknowledgedWhileAStartIsUnanswered) {
   const RunnerIndex runner = AddRunner("a");
-  Submit(Spec(1));
-  BOOST_REQUIRE(StartAll().size() == 1U);
-  Report(
-      runner, {},
-      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
-  Submit(Spec(2));
-  PlaceTasks(m_cell, m_now);
-  CommitAll();
-  const auto starts = Take<StartOrder>();
-  BOOST_REQUIRE(starts.size() == 1U);
+  const StartOrder start = EndOneJobAndStartAnother(runner);
   BOOST_TEST(!NextRenewal(m_cell, runner, m_now).has_value());
   AdvanceTime(milliseconds(250));
   const auto during = NextRenewal(m_cell, runner, m_now);
   BOOST_REQUIRE(during.has_value());
   BOOST_TEST(during->m_lastSeen.Value() == 0U);
-  ApplyStartAnswer(m_cell, starts[0], OrderOutcome::Applied, {}, m_now);
+  ApplyStartAnswer(m_cell, start, OrderOutcome::Applied, {}, m_now);
   Report(runner, {{{JobId(2), 0, 0, 0}, RunNumber(1), "", 10, 0}}, {});
   const auto after = NextRenewal(m_cell, runner, m_now);
   BOOST_REQUIRE(after.has_value());
@@ -392,17 +398,8 @@
  *  (found by sched_property_test, seed 407981). */
 BOOST_AUTO_TEST_CASE(AnswerOfANewInstanceEndsTheEarlierOne) {
   const RunnerIndex runner = AddRunner("a");
-  Submit(Spec(1));
-  BOOST_REQUIRE(StartAll().size() == 1U);
-  Report(
-      runner, {},
-      {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Done, ""}});
-  Submit(Spec(2));
-  PlaceTasks(m_cell, m_now);
-  CommitAll();
-  const auto starts = Take<StartOrder>();
-  BOOST_REQUIRE(starts.size() == 1U);
-  ApplyStartAnswer(m_cell, starts[0], OrderOutcome::Applied, RunnerMillis(10),
+  const StartOrder start = EndOneJobAndStartAnother(runner);
+  ApplyStartAnswer(m_cell, start, OrderOutcome::Applied, RunnerMillis(10),
                    m_now);
   BOOST_TEST((TaskOf(2).m_phase == TaskPhase::Recovering));
   m_cell.m_newestFence = FencingToken(20);
