net, scheduler: log lines name the connection and the clock of an answer

No line told whose answer a decision rests on, so that an answer which belongs to another call could not be told from a true one. Outcomes of calls now carry the connection, the number of replies that it had carried before, and the server's clock; failed starts, renewals and commits and all answers to stops log them, and 'run missing from report' the clock of the report. Answers to stops were not logged at all. The connections of the client became a struct.

--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -245,10 +245,11 @@
     if (place.m_task == nullptr) continue;
     if (!AbsenceCounts(*place.m_task, aSentAt)) continue;
     if (IsListed(aReport, key, place.m_task->m_run)) continue;
-    LogDecision(aCell,
-                fmt::format("run missing from report task={} run={} runner={}",
-                            TaskText(key), place.m_task->m_run.Value(),
-                            aRunner.m_entry.m_id.Value()));
+    LogDecision(aCell, fmt::format("run missing from report task={} run={} "
+                                   "runner={} clock_ms={}",
+                                   TaskText(key), place.m_task->m_run.Value(),
+                                   aRunner.m_entry.m_id.Value(),
+                                   aReport.m_clock.Value()));
     Requeue(aCell, key, place, aNow);
   }
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -22,6 +22,13 @@
 
 namespace {
 
+struct Connection {
+  explicit Connection(asio::io_context& aContext) : m_stream(aContext) {}
+  beast::tcp_stream m_stream;
+  ConnectionNumber m_number;
+  uint32_t m_replies = 0;  ///< Read so far.
+};
+
 /** Limit of connections that carry a call to an address whose last call timed
  *  out: one for a call that waits at the server, and one for another. */
 constexpr size_t kSuspectConnections = 2;
@@ -41,8 +48,8 @@
 struct HttpClient::Pool {
   /** Connections to one address. */
   struct Address {
-    std::vector<std::unique_ptr<beast::tcp_stream>>
-        m_idle;              ///< Open connections without a call in progress.
+    /** Open connections without a call in progress. */
+    std::vector<std::unique_ptr<Connection>> m_idle;
     size_t m_busy = 0;       ///< Calls that have begun and have not ended.
     bool m_suspect = false;  ///< The last call timed out.
     std::deque<std::shared_ptr<WaitingCall>> m_urgent;
@@ -157,30 +164,30 @@
       return;
     }
     TakeIdle();
-    if (m_stream) {
+    if (m_connection) {
       m_outcome.m_reused = true;
-      m_stream->expires_after(m_timeout);
+      Stream().expires_after(m_timeout);
       Send();
       return;
     }
-    m_stream = std::make_unique<beast::tcp_stream>(m_pool->m_context);
-    ++m_pool->m_connections;
-    m_stream->expires_after(m_timeout);
-    m_stream->async_connect(
+    m_connection = std::make_unique<Connection>(m_pool->m_context);
+    m_connection->m_number = ConnectionNumber(++m_pool->m_connections);
+    Stream().expires_after(m_timeout);
+    Stream().async_connect(
         m_address, [self = this->shared_from_this()](beast::error_code aError) {
           if (aError) {
             self->Fail(aError);
             return;
           }
           beast::error_code ignored;
-          self->m_stream->socket().set_option(tcp::no_delay(true), ignored);
+          self->Stream().socket().set_option(tcp::no_delay(true), ignored);
           self->Send();
         });
   }
 
   void Cancel() override {
     m_cancelled = true;
-    if (m_stream) m_stream->close();
+    if (m_connection) Stream().close();
   }
 
  private:
@@ -196,17 +203,22 @@
 
   void TakeIdle() {
     auto& idle = m_pool->m_addresses[m_address].m_idle;
-    while (!idle.empty() && !m_stream) {
-      auto stream = std::move(idle.back());
+    while (!idle.empty() && !m_connection) {
+      auto connection = std::move(idle.back());
       idle.pop_back();
-      if (!IsStale(stream->socket())) m_stream = std::move(stream);
+      if (!IsStale(connection->m_stream.socket())) {
+        m_connection = std::move(connection);
+      }
     }
   }
 
+  beast::tcp_stream& Stream() { return m_connection->m_stream; }
+
   void Send() {
     m_outcome.m_stage = CallStage::PartlySent;
+    m_outcome.m_origin = {m_connection->m_number, m_connection->m_replies, {}};
     http::async_write(
-        *m_stream, m_request,
+        Stream(), m_request,
         [self = this->shared_from_this()](beast::error_code aError, size_t) {
           if (aError) {
             self->Fail(aError);
@@ -227,7 +239,7 @@
    *  with each part that arrives. */
   void ReadMore() {
     http::async_read_some(
-        *m_stream, m_buffer, *m_parser,
+        Stream(), m_buffer, *m_parser,
         [self = this->shared_from_this()](beast::error_code aError, size_t) {
           const auto now = std::chrono::steady_clock::now();
           if (aError || self->m_parser->is_done() ||
@@ -238,7 +250,7 @@
                              : beast::error_code(beast::error::timeout));
             return;
           }
-          self->m_stream->expires_after(self->m_timeout);
+          self->Stream().expires_after(self->m_timeout);
           self->ReadMore();
         });
   }
@@ -250,6 +262,7 @@
       return;
     }
     m_outcome.m_stage = CallStage::CompleteReply;
+    ++m_connection->m_replies;
     auto message = m_parser->release();
     auto& reply = m_outcome.m_reply;
     reply.m_status = static_cast<int>(message.result_int());
@@ -271,8 +284,8 @@
         idle.size() >= m_pool->m_idlePerAddress) {
       return;
     }
-    m_stream->expires_never();
-    idle.push_back(std::move(m_stream));
+    Stream().expires_never();
+    idle.push_back(std::move(m_connection));
   }
 
   void Fail(beast::error_code aError) {
@@ -285,7 +298,7 @@
       address.m_suspect = true;
     }
     m_outcome.m_error = aError.message();
-    m_stream->close();
+    Stream().close();
     Finish();
   }
 
@@ -306,7 +319,7 @@
   bool m_begun = false;  ///< It has a connection, or is about to end.
   bool m_cancelled = false;
   http::request<http::string_body> m_request;
-  std::unique_ptr<beast::tcp_stream> m_stream;
+  std::unique_ptr<Connection> m_connection;
   beast::flat_buffer m_buffer;
   std::optional<http::response_parser<http::string_body>> m_parser;
   CallOutcome m_outcome;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -13,6 +13,7 @@
 
 #include "core/base/time_type.h"
 #include "core/error/error_type.h"
+#include "core/message/reply_match_type.h"
 #include "net/http_type.h"
 
 namespace bronze {
@@ -30,6 +31,7 @@
   CallStage m_stage = CallStage::NotConnected;
   bool m_timedOut = false;
   bool m_reused = false;  ///< The connection came from the pool.
+  ReplyOrigin m_origin;   ///< For logs; without the clock.
   HttpReply m_reply;      ///< Valid only at CallStage::CompleteReply.
   std::string m_error;    ///< Empty if m_stage is CompleteReply.
 };
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -82,9 +82,20 @@
   return aOutcome.m_error;
 }
 
+/** Where the answer came from, with the runner's clock. */
+ReplyOrigin OriginOf(const CallOutcome& aOutcome,
+                     std::optional<sched::RunnerMillis> aClock) {
+  ReplyOrigin origin = aOutcome.m_origin;
+  if (aClock) origin.m_clock = ServerMillis(aClock->Value());
+  return origin;
+}
+
 auto OrderHandler(std::function<void(OrderAnswer)> aHandler) {
   return [handler = std::move(aHandler)](CallOutcome aOutcome) {
-    handler({OutcomeOf(aOutcome), {}, ErrorOf(aOutcome)});
+    handler({OutcomeOf(aOutcome),
+             {},
+             ErrorOf(aOutcome),
+             OriginOf(aOutcome, ClockOf(aOutcome))});
   };
 }
 
@@ -130,7 +141,9 @@
   if (!aOrder.m_ticket.empty()) body["ticket"] = aOrder.m_ticket;
   Post(aTarget, "/bronzeworks/run-start", json::serialize(body), kOrderTimeout,
        [handler = std::move(aHandler)](CallOutcome aOutcome) {
-         handler({OutcomeOf(aOutcome), ClockOf(aOutcome), ErrorOf(aOutcome)});
+         const auto clock = ClockOf(aOutcome);
+         handler({OutcomeOf(aOutcome), clock, ErrorOf(aOutcome),
+                  OriginOf(aOutcome, clock)});
        },
        {false, std::move(aMayBegin)});
 }
@@ -173,10 +186,12 @@
         RenewalAnswer answer;
         answer.m_outcome = OutcomeOf(aOutcome);
         answer.m_error = ErrorOf(aOutcome);
+        answer.m_origin = OriginOf(aOutcome, {});
         if (answer.m_outcome == OrderOutcome::Applied) {
           auto report = DecodeRunnerReport(aOutcome.m_reply.m_body);
           if (report) {
             answer.m_report = std::move(report.value());
+            answer.m_origin = OriginOf(aOutcome, answer.m_report.m_clock);
           } else {
             answer.m_outcome = OrderOutcome::Unknown;
             answer.m_error = report.error().m_message;
--- a/src/platform/runner_client.h
+++ b/src/platform/runner_client.h
@@ -26,13 +26,15 @@
   sched::OrderOutcome m_outcome = sched::OrderOutcome::Unknown;
   /** The runner's clock when it answered a start, if it has told it. */
   std::optional<sched::RunnerMillis> m_clock;
-  std::string m_error;  ///< HTTP status or error; for the log.
+  std::string m_error;   ///< HTTP status or error; for the log.
+  ReplyOrigin m_origin;  ///< For the log.
 };
 
 struct RenewalAnswer {
   sched::OrderOutcome m_outcome = sched::OrderOutcome::Unknown;
   sched::RunnerReport m_report;  ///< Only set with Applied.
   std::string m_error;
+  ReplyOrigin m_origin;
 };
 
 class RunnerClient {
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -196,7 +196,13 @@
         handler = std::move(aHandler)](CallOutcome aOutcome) {
          RowsResult rows = DecodeRows(aOutcome);
          UpdateClockReading(rows, askedAt);
-         handler({rows.m_outcome, rows.m_version, std::move(rows.m_rows)});
+         ReplyOrigin origin = aOutcome.m_origin;
+         if (rows.m_storeTime) {
+           origin.m_clock = ServerMillis(rows.m_storeTime->Value());
+         }
+         const bool answered = aOutcome.m_stage == CallStage::CompleteReply;
+         handler({rows.m_outcome, rows.m_version, std::move(rows.m_rows),
+                  answered ? aOutcome.m_reply.m_status : 0, origin});
        });
 }
 
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -118,6 +118,10 @@
     FinishCommit(aResult.m_version);
     return;
   }
+  m_log.Write("[store]",
+              "commit not confirmed cell={} sequence={} status={} {}",
+              m_cellId.Value(), m_ownerRow.m_sequence, aResult.m_status,
+              OriginFields(aResult.m_origin));
   if (aResult.m_outcome == StoreOutcome::Conflict) {
     for (const StoreRow& row : aResult.m_current) {
       if (row.m_key.m_table != kOwnerTable) continue;
--- a/src/scheduler/cell_owner_orders.cpp
+++ b/src/scheduler/cell_owner_orders.cpp
@@ -63,10 +63,10 @@
           return;
         }
         if (aAnswer.m_outcome != sched::OrderOutcome::Applied) {
-          self->m_log.Write("[cell]",
-                            "start not confirmed task={} run={} error={}",
-                            sched::TaskText(aOrder.m_task),
-                            aOrder.m_run.Value(), aAnswer.m_error);
+          self->m_log.Write(
+              "[cell]", "start not confirmed task={} run={} error={} {}",
+              sched::TaskText(aOrder.m_task), aOrder.m_run.Value(),
+              aAnswer.m_error, OriginFields(aAnswer.m_origin));
         }
         sched::ApplyStartAnswer(self->m_cell, aOrder, aAnswer.m_outcome,
                                 aAnswer.m_clock, BootNow());
@@ -87,6 +87,9 @@
                                                     aAnswer.m_outcome)) {
           return;
         }
+        self->m_log.Write("[cell]", "stop answered task={} run={} answer={} {}",
+                          sched::TaskText(aOrder.m_task), aOrder.m_run.Value(),
+                          aAnswer.m_error, OriginFields(aAnswer.m_origin));
         sched::ApplyStopAnswer(self->m_cell, aOrder, aAnswer.m_outcome,
                                BootNow());
         self->RequestPass();
@@ -134,27 +137,28 @@
   for (uint32_t at = 0; at < m_cell.m_runners.size(); ++at) {
     const auto order = sched::NextRenewal(m_cell, sched::RunnerIndex(at), now);
     if (!order) continue;
-    m_links.m_runners.RenewLease(*order, [self = shared_from_this(),
-                                          runner = order->m_runner,
-                                          target = TargetOf(order->m_runner),
-                                          sentAt = now](RenewalAnswer aAnswer) {
-      if (self->m_ended ||
-          self->StepDownIfFenced(target, runner, aAnswer.m_outcome)) {
-        return;
-      }
-      const TimePoint answeredAt = BootNow();
-      if (aAnswer.m_outcome == sched::OrderOutcome::Applied) {
-        sched::ApplyReport(self->m_cell, runner, aAnswer.m_report, sentAt,
-                           answeredAt);
-      } else {
-        self->m_log.Write("[runners]",
-                          "lease renewal failed runner={} error={}",
-                          self->TargetOf(runner).m_id.Value(), aAnswer.m_error);
-        sched::ApplyRenewalFailure(self->m_cell, runner, aAnswer.m_outcome,
-                                   answeredAt);
-      }
-      self->RequestPass();
-    });
+    m_links.m_runners.RenewLease(
+        *order, [self = shared_from_this(), runner = order->m_runner,
+                 target = TargetOf(order->m_runner),
+                 sentAt = now](RenewalAnswer aAnswer) {
+          if (self->m_ended ||
+              self->StepDownIfFenced(target, runner, aAnswer.m_outcome)) {
+            return;
+          }
+          const TimePoint answeredAt = BootNow();
+          if (aAnswer.m_outcome == sched::OrderOutcome::Applied) {
+            sched::ApplyReport(self->m_cell, runner, aAnswer.m_report, sentAt,
+                               answeredAt);
+          } else {
+            self->m_log.Write("[runners]",
+                              "lease renewal failed runner={} error={} {}",
+                              self->TargetOf(runner).m_id.Value(),
+                              aAnswer.m_error, OriginFields(aAnswer.m_origin));
+            sched::ApplyRenewalFailure(self->m_cell, runner, aAnswer.m_outcome,
+                                       answeredAt);
+          }
+          self->RequestPass();
+        });
   }
 }
 
--- a/src/scheduler/event_log.cpp
+++ b/src/scheduler/event_log.cpp
@@ -68,4 +68,12 @@
   m_buffer.erase(0, at);
 }
 
+std::string OriginFields(const ReplyOrigin& aOrigin) {
+  const std::string clock =
+      aOrigin.m_clock ? std::to_string(aOrigin.m_clock->Value()) : "none";
+  return fmt::format("connection={} earlier_replies={} clock_ms={}",
+                     aOrigin.m_connection.Value(), aOrigin.m_earlierReplies,
+                     clock);
+}
+
 }  // namespace bronze
--- a/src/scheduler/event_log.h
+++ b/src/scheduler/event_log.h
@@ -14,6 +14,8 @@
 #include <string>
 #include <string_view>
 
+#include "core/message/reply_match_type.h"
+
 namespace bronze {
 
 /** May be used on any thread. */
@@ -47,6 +49,9 @@
   uint64_t m_reportedDrops = 0;  ///< m_dropped when last logged.
 };
 
+/** @return where an answer came from, as fields of a log line. */
+[[nodiscard]] std::string OriginFields(const ReplyOrigin& aOrigin);
+
 }  // namespace bronze
 
 #endif  // BRONZE_SCHEDULER_EVENT_LOG_H_
