--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -25,6 +25,13 @@
 /** Time between two polls of a call that waits for changes. */
 constexpr Duration kPollInterval = milliseconds(10);
 
+/** @return the clock of stores and runners. */
+int64_t NowMillis() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string Encode64(const std::string& aBytes) {
   std::string text(base64::encoded_size(aBytes.size()), '\0');
   text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
@@ -126,14 +133,18 @@
 void RowStore::Handle(int aFront, size_t aThread, const HttpCall& aCall,
                       const std::shared_ptr<HttpResponder>& aResponder) {
   bool refuses = false;
+  bool limits = false;
   bool loses = false;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
     refuses = m_faults.m_refusesCalls || m_faults.m_refusedServer == aFront;
+    ++m_calls;
+    limits =
+        m_faults.m_refusesEach > 0 && m_calls % m_faults.m_refusesEach == 0;
     loses = m_faults.m_losesAnswers && ++m_callsWhileLosing % 2 == 0;
   }
-  if (refuses) {
-    aResponder->Reply(JsonReply(503, Json::object()));
+  if (refuses || limits) {
+    aResponder->Reply(JsonReply(refuses ? 503 : 429, Json::object()));
     return;
   }
   const std::string path = aCall.m_target.substr(0, aCall.m_target.find('?'));
@@ -170,8 +181,8 @@
     }
   }
   if (!holds) {
-    return JsonReply(412,
-                     {{"rows", current}, {"ver", m_version}, {"now_ms", 0}});
+    return JsonReply(
+        412, {{"rows", current}, {"ver", m_version}, {"now_ms", NowMillis()}});
   }
   ++m_version;
   for (const Json& put : body.at("put")) {
@@ -180,7 +191,7 @@
   for (const Json& removed : body.at("remove")) {
     m_rows[KeyOf(removed)] = {"", m_version, true};
   }
-  return JsonReply(200, {{"ver", m_version}, {"now_ms", 0}});
+  return JsonReply(200, {{"ver", m_version}, {"now_ms", NowMillis()}});
 }
 
 HttpReply RowStore::ReadRange(const HttpCall& aCall) {
@@ -207,7 +218,7 @@
   return JsonReply(200, {{"rows", rows},
                          {"truncated", truncated},
                          {"ver", m_version},
-                         {"now_ms", 0}});
+                         {"now_ms", NowMillis()}});
 }
 
 bool RowStore::ReadChanges(const HttpCall& aCall, HttpReply& aReply) {
@@ -224,7 +235,8 @@
     if (std::get<0>(key) != table || row.m_version <= after) continue;
     rows.push_back(RowJson(key, row.m_value, row.m_version, row.m_deleted));
   }
-  aReply = JsonReply(200, {{"rows", rows}, {"ver", m_version}, {"now_ms", 0}});
+  aReply = JsonReply(
+      200, {{"rows", rows}, {"ver", m_version}, {"now_ms", NowMillis()}});
   return !rows.empty();
 }
 
@@ -284,32 +296,36 @@
   return m_maxConcurrentRuns;
 }
 
-uint64_t FakeRunner::LastAcknowledgedEnd() {
+std::vector<RunRecord> FakeRunner::Runs() {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  return m_acknowledged;
+  Advance();
+  return m_runs;
 }
 
-int64_t FakeRunner::Clock() const {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
+uint64_t FakeRunner::LastAcknowledgedEnd() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_acknowledged;
 }
 
-void FakeRunner::EndRun(const std::string& aTask, const std::string& aKind) {
+void FakeRunner::EndRun(const std::string& aTask, const std::string& aKind,
+                        int64_t aEndedAt) {
   const uint64_t run = m_running.at(aTask).m_number;
+  RunRecord& record = m_runs[m_running.at(aTask).m_record];
+  record.m_endedAt = aEndedAt;
+  record.m_kind = aKind;
   m_running.erase(aTask);
   m_highestEnded[aTask] = std::max(m_highestEnded[aTask], run);
   m_ends.push_back({++m_lastEnd, aTask, run, aKind});
 }
 
 void FakeRunner::Advance() {
-  const int64_t now = Clock();
+  const int64_t now = NowMillis();
   const std::map<std::string, Run> running = m_running;
   for (const auto& [task, run] : running) {
     if (now >= run.m_endsAt) {
-      EndRun(task, m_faults.m_failsTasks ? "failed" : "done");
+      EndRun(task, m_faults.m_failsTasks ? "failed" : "done", run.m_endsAt);
     } else if (now > m_deadline) {
-      EndRun(task, "lapsed");
+      EndRun(task, "lapsed", m_deadline);
     }
   }
 }
@@ -318,7 +334,7 @@
   const Json body = Json::parse(aCall.m_body);
   const std::lock_guard<std::mutex> lock(m_mutex);
   Advance();
-  Json answer = {{"clock_ms", Clock()}, {"born", 1}};
+  Json answer = {{"clock_ms", NowMillis()}, {"born", 1}};
   const uint64_t fence = body.value("fence", uint64_t{0});
   if (fence < m_fence) {
     answer["reason"] = "fence";
@@ -336,9 +352,11 @@
     ++m_starts[task];
     const int before = m_running.count(task) > 0 ? 1 : 0;
     m_maxConcurrentRuns = std::max(m_maxConcurrentRuns, before + 1);
-    m_running[task] = {
-        run,
-        Clock() + std::chrono::duration_cast<milliseconds>(m_taskTime).count()};
+    const int64_t now = NowMillis();
+    const auto time =
+        std::chrono::duration_cast<milliseconds>(m_taskTime).count();
+    m_runs.push_back({task, run, now, INT64_MAX, ""});
+    m_running[task] = {run, now + time, m_runs.size() - 1};
     aLoseAnswer = m_faults.m_losesStartAnswers;
     return JsonReply(200, answer);
   }
@@ -347,7 +365,7 @@
     const uint64_t run = body.at("run");
     const auto found = m_running.find(task);
     if (found != m_running.end() && found->second.m_number <= run) {
-      EndRun(task, "stopped");
+      EndRun(task, "stopped", NowMillis());
     }
     m_highestEnded[task] = std::max(m_highestEnded[task], run);
     return JsonReply(200, answer);
--- a/src/standin/row_store.h
+++ b/src/standin/row_store.h
@@ -25,7 +25,9 @@
   bool m_losesAnswers = false;  ///< Carries out transactions, but leaves those
                                 ///< unanswered that are even-numbered calls.
   bool m_refusesOldVersions =
-      false;                 ///< Answers the next read of changes with 410.
+      false;                   ///< Answers the next read of changes with 410.
+  uint64_t m_refusesEach = 0;  ///< Answers each call with this number, and its
+                               ///< multiples, with 429; 0: none.
   int m_refusedServer = -1;  ///< Index of a server that answers 503; -1: none.
 };
 
@@ -35,6 +37,15 @@
   bool m_failsTasks = false;         ///< Ends tasks as failed.
 };
 
+/** One run of a task on a FakeRunner; times in ms of its clock. */
+struct RunRecord {
+  std::string m_task;
+  uint64_t m_number = 0;
+  int64_t m_startedAt = 0;
+  int64_t m_endedAt = INT64_MAX;  ///< INT64_MAX: it runs.
+  std::string m_kind;             ///< How it ended; empty: it runs.
+};
+
 /** A row store in memory, with one version counter for all rows. */
 class RowStore {
  public:
@@ -83,6 +94,7 @@
   std::map<Key, Row> m_rows;
   uint64_t m_version = 0;
   RowStoreFaults m_faults;
+  uint64_t m_calls = 0;
   uint64_t m_callsWhileLosing = 0;  ///< Calls while m_losesAnswers is set.
 };
 
@@ -101,13 +113,16 @@
   [[nodiscard]] std::map<std::string, int> Starts();
   /** @return the highest number of concurrent runs of any one task. */
   [[nodiscard]] int MaxConcurrentRuns();
+  /** @return all runs, in the order of their starts. */
+  [[nodiscard]] std::vector<RunRecord> Runs();
   /** @return the number of the last end that a caller has acknowledged. */
   [[nodiscard]] uint64_t LastAcknowledgedEnd();
 
  private:
   struct Run {
     uint64_t m_number = 0;
-    int64_t m_endsAt = 0;  ///< In ms of Clock().
+    int64_t m_endsAt = 0;  ///< In ms of its clock.
+    size_t m_record = 0;   ///< Index in m_runs.
   };
   /** The end of a run, reported until a caller acknowledges it. */
   struct End {
@@ -118,11 +133,10 @@
   };
 
   HttpReply Handle(const HttpCall& aCall, bool& aLoseAnswer);
-  /** @return the runner's monotonic clock in ms. */
-  [[nodiscard]] int64_t Clock() const;
   /** Ends the runs whose time is over or whose lease has ended. */
   void Advance();
-  void EndRun(const std::string& aTask, const std::string& aKind);
+  void EndRun(const std::string& aTask, const std::string& aKind,
+              int64_t aEndedAt);
 
   ThreadPool& m_threads;
   Duration m_taskTime;
@@ -131,13 +145,14 @@
   std::mutex m_mutex;  ///< Guards all below.
   FakeRunnerFaults m_faults;
   uint64_t m_fence = 0;    ///< Highest seen; calls with lower ones get 409.
-  int64_t m_deadline = 0;  ///< End of the lease, in ms of Clock().
+  int64_t m_deadline = 0;  ///< End of the lease, in ms of its clock.
   std::map<std::string, Run> m_running;
   std::map<std::string, uint64_t> m_highestEnded;
   std::deque<End> m_ends;
   uint64_t m_lastEnd = 0;
   uint64_t m_acknowledged = 0;
   std::map<std::string, int> m_starts;
+  std::vector<RunRecord> m_runs;  ///< Of all tasks, also those that run.
   int m_maxConcurrentRuns = 0;
 };
 
--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -156,14 +156,20 @@
                  const std::string& aRack = "rack1") {
     m_runners.push_back(
         std::make_unique<standin::FakeRunner>(m_platformThreads, aTaskTime));
-    const std::string address = AddressText(m_runners.back()->Listen());
+    m_runnerAddresses.push_back(m_runners.back()->Listen());
+    PutRunner(aName, m_runnerAddresses.back(), aRack);
+  }
+
+  void PutRunner(const std::string& aName,
+                 const boost::asio::ip::tcp::endpoint& aAddress,
+                 const std::string& aRack = "rack1") {
     m_store.Put(
         "servers", "", aName,
         fmt::format(
             R"({{"service":"pool","address":"{}","zone":"z","version":"v1",)"
             R"("slots":8,"state":"ready","born":1,"capacity":{{"cpu":16000,)"
             R"("mem_mb":32000}},"labels":["a","{}"],"sequence":1}})",
-            address, aRack));
+            AddressText(aAddress), aRack));
   }
 
   /** @param aOwnStoreAddress gives the node a store address of its own, so that
@@ -241,6 +247,7 @@
   HttpClient m_client;
   boost::asio::ip::tcp::endpoint m_storeAddress;
   std::vector<std::unique_ptr<standin::FakeRunner>> m_runners;
+  std::vector<boost::asio::ip::tcp::endpoint> m_runnerAddresses;
   std::vector<std::unique_ptr<RunningNode>> m_nodes;
 };
 
