net: a reply counts only for the call that it was made for

Cause: HttpClient assigned replies to calls by their order on a kept connection and looked for unexpected bytes only when it took an idle one. A second answer that arrived after the next call had been sent was read as that call's, and each later call on the connection got the answer to the one before.

Change: after the first reply on a connection, a reply counts only with a mark that no earlier one there had (reply_match_func.h): the number of the call, which our server copies into its reply, or a later time on the server's clock, which answers of runners (clock_ms) and of the store (now_ms) tell. A connection is used again only after a reply with a mark, and not before the server's clock must have moved on; the advice service gives no mark, so each of its connections carries one call. A repetition is skipped, the true reply follows it. Also: an interim reply (1xx) is not the final one; a reply without a length, one made of parts of two, and bytes that arrive before the call is sent count for nothing; a runner's answer without its clock is no answer; a status of the store that does not say that nothing was done leaves the outcome open (it counted as refused). The server of http_client_test copies the number of the call, as its checks of kept connections need a mark now; no check changed.

Metric: bronze_replies_mismatched_total.

--- a/src/core/message/reply_match_type.h
+++ b/src/core/message/reply_match_type.h
@@ -1,6 +1,6 @@
 /**
- * @file reply_match_type.h Where a reply came from: the connection, its place
- * there and the server's clock.
+ * @file reply_match_type.h Where a reply came from, and what shows that it is
+ * that of its call.
  */
 
 #ifndef BRONZE_CORE_MESSAGE_REPLY_MATCH_TYPE_H_
@@ -14,6 +14,8 @@
 
 namespace bronze {
 
+/** Number of a call among those of one client. */
+using CallNumber = Sequence<struct CallNumberTag>;
 /** Number of a connection among those that one client has opened. */
 using ConnectionNumber = Sequence<struct ConnectionNumberTag>;
 /** Whole milliseconds on a server's steady clock. */
@@ -26,6 +28,29 @@
   std::optional<ServerMillis> m_clock;
 };
 
+/** What a reply says about its call. */
+struct ReplyMark {
+  /** The call's number, which the server has copied from the call. */
+  std::optional<CallNumber> m_call;
+  /** The server's clock when it made the reply. */
+  std::optional<ServerMillis> m_clock;
+  bool m_hasBody = false;
+};
+
+/** The replies that were read on one connection. */
+struct ReplyHistory {
+  uint32_t m_replies = 0;
+  /** Highest of them; each reply on a kept connection had a mark. */
+  std::optional<ServerMillis> m_newestClock;
+  TimePoint m_lastReplyAt;
+};
+
+enum class ReplyMatch : uint8_t {
+  Matches,
+  Repeated,  ///< It has the mark of an earlier reply.
+  Unmarked,  ///< It is not the first reply and has no mark.
+};
+
 }  // namespace bronze
 
 #endif  // BRONZE_CORE_MESSAGE_REPLY_MATCH_TYPE_H_
--- a/src/ctl/ctl_client.cpp
+++ b/src/ctl/ctl_client.cpp
@@ -74,7 +74,7 @@
     }
   }
   boost::asio::io_context context;
-  HttpClient client(context, 0, kMaxAnswerBytes);
+  HttpClient client(context, {0, kMaxAnswerBytes});
   CallOutcome outcome;
   client.Call(address.value(), call, aTimeout,
               [&outcome](CallOutcome aDone) { outcome = std::move(aDone); });
--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -49,7 +49,7 @@
       m_drainTimer(m_context),
       m_leaveTimer(m_context),
       m_releaseTimer(m_context),
-      m_client(m_context, kIdlePlatformConnections, kMaxPlatformAnswer),
+      m_client(m_context, {kIdlePlatformConnections, kMaxPlatformAnswer}),
       m_table(m_client, aPlatform, aCounters),
       m_vmList(m_client, aPlatform),
       m_hub(m_context, aNode.m_vm, aIncarnation, aCounters) {
--- a/src/daemon/runner_gateway.cpp
+++ b/src/daemon/runner_gateway.cpp
@@ -51,7 +51,7 @@
                              Counters& aCounters, EndHandler aOnEnd)
     : m_counters(aCounters),
       m_onEnd(std::move(aOnEnd)),
-      m_client(aContext, kIdlePerRunner, kMaxAnswerBytes) {}
+      m_client(aContext, {kIdlePerRunner, kMaxAnswerBytes}) {}
 
 void RunnerGateway::Send(std::shared_ptr<CallerCall> aCall,
                          const RunnerId& aRunner,
--- a/src/load/target_pool.cpp
+++ b/src/load/target_pool.cpp
@@ -44,8 +44,9 @@
   }
   for (size_t i = 0; i < aThreads.Size(); ++i) {
     m_clients.push_back(std::make_unique<HttpClient>(
-        aThreads.Context(i), static_cast<size_t>(aOptions.m_connections),
-        kMaxAnswerBytes));
+        aThreads.Context(i),
+        HttpClientLimits{static_cast<size_t>(aOptions.m_connections),
+                         kMaxAnswerBytes}));
   }
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,14 +5,18 @@
 #include "net/http_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <optional>
 
+#include "core/message/reply_match_func.h"
+
 namespace bronze {
 
 namespace asio = boost::asio;
@@ -26,9 +30,15 @@
   explicit Connection(asio::io_context& aContext) : m_stream(aContext) {}
   beast::tcp_stream m_stream;
   ConnectionNumber m_number;
-  uint32_t m_replies = 0;  ///< Read so far.
+  ReplyHistory m_history;
 };
 
+/** @return the time of the clock that does not jump. */
+TimePoint SteadyNow() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 /** Limit of connections that carry a call to an address whose last call timed
  *  out: one for a call that waits at the server, and one for another. */
 constexpr size_t kSuspectConnections = 2;
@@ -56,17 +66,14 @@
     std::deque<std::shared_ptr<WaitingCall>> m_waiting;
   };
 
-  Pool(asio::io_context& aContext, size_t aIdlePerAddress, size_t aMaxAnswer,
-       size_t aBusyPerAddress)
-      : m_context(aContext),
-        m_idlePerAddress(aIdlePerAddress),
-        m_maxAnswerBytes(aMaxAnswer),
-        m_busyPerAddress(aBusyPerAddress) {}
+  Pool(asio::io_context& aContext, HttpClientLimits aLimits, ReplyClock aClock)
+      : m_context(aContext), m_limits(aLimits), m_clock(aClock) {}
 
   [[nodiscard]] bool MayBegin(const Address& aAddress) const {
-    const size_t limit = aAddress.m_suspect
-                             ? std::min(m_busyPerAddress, kSuspectConnections)
-                             : m_busyPerAddress;
+    const size_t limit =
+        aAddress.m_suspect
+            ? std::min(m_limits.m_busyPerAddress, kSuspectConnections)
+            : m_limits.m_busyPerAddress;
     return aAddress.m_busy < limit;
   }
 
@@ -89,15 +96,39 @@
   }
 
   asio::io_context& m_context;
-  size_t m_idlePerAddress;
-  size_t m_maxAnswerBytes;
-  size_t m_busyPerAddress;
-  uint64_t m_connections = 0;  ///< Opened so far.
+  HttpClientLimits m_limits;
+  ReplyClock m_clock;  ///< Null: calls are numbered.
+  CallNumber m_lastCall;
+  // Read by the thread that serves metrics.
+  std::atomic<uint64_t> m_connections = 0;  ///< Opened so far.
+  std::atomic<uint64_t> m_mismatched = 0;   ///< Replies that were dropped.
   std::map<tcp::endpoint, Address> m_addresses;
 };
 
 namespace {
 
+/** Whether the head holds the begin of another one: an answer that was cut,
+ *  followed by a whole one, can be parsed as one reply. */
+template <class Message>
+bool HoldsAnotherHead(const Message& aMessage) {
+  constexpr std::string_view kBegin = "HTTP/1.";
+  const auto holds = [&](beast::string_view aText) {
+    return aText.find({kBegin.data(), kBegin.size()}) !=
+           beast::string_view::npos;
+  };
+  return holds(aMessage.reason()) ||
+         std::any_of(aMessage.begin(), aMessage.end(),
+                     [&](const auto& aField) { return holds(aField.value()); });
+}
+
+std::optional<CallNumber> ReadCallNumber(std::string_view aText) {
+  uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [at, error] = std::from_chars(aText.data(), end, number);
+  if (error != std::errc() || at != end) return {};
+  return CallNumber(number);
+}
+
 /**
  * Whether the server has closed an idle connection or has sent unexpected bytes
  * on it.
@@ -130,6 +161,10 @@
     for (const auto& [name, value] : aCall.m_headers) {
       m_request.set(name, value);
     }
+    if (m_pool->m_clock == nullptr) {
+      m_number = m_pool->m_lastCall = m_pool->m_lastCall.Next();
+      m_request.set(kCallNumberHeader, std::to_string(m_number.Value()));
+    }
     m_request.body() = aCall.m_body;
     m_request.prepare_payload();
   }
@@ -157,13 +192,65 @@
     m_begun = true;
     m_waitTimer.reset();
     ++m_pool->m_addresses[m_address].m_busy;
+    TakeIdle();
+    const Duration rest =
+        m_connection ? NextCallAt(m_connection->m_history) - SteadyNow()
+                     : Duration::zero();
+    if (rest <= Duration::zero()) {
+      Proceed();
+      return;
+    }
+    m_waitTimer.emplace(m_pool->m_context, rest);
+    m_waitTimer->async_wait([self = this->shared_from_this()](
+                                beast::error_code) { self->Proceed(); });
+  }
+
+  void Cancel() override {
+    m_cancelled = true;
+    if (m_connection) Stream().close();
+  }
+
+ private:
+  void GiveUpWaiting() {
+    // The timer may have expired before its cancellation.
+    if (m_begun) return;
+    m_outcome.m_timedOut = true;
+    m_outcome.m_error = "no connection became free in time";
+    auto handler = std::move(m_handler);
+    m_handler = nullptr;
+    handler(std::move(m_outcome));
+  }
+
+  /** Takes the idle connection that was used last among those that can carry
+   *  a call now, or else the one that can do so first. */
+  void TakeIdle() {
+    auto& idle = m_pool->m_addresses[m_address].m_idle;
+    std::erase_if(idle, [](const auto& aConnection) {
+      return IsStale(aConnection->m_stream.socket());
+    });
+    if (idle.empty()) return;
+    const TimePoint now = SteadyNow();
+    auto chosen = std::find_if(
+        idle.rbegin(), idle.rend(), [now](const auto& aConnection) {
+          return NextCallAt(aConnection->m_history) <= now;
+        });
+    if (chosen == idle.rend()) chosen = std::prev(idle.rend());
+    m_connection = std::move(*chosen);
+    idle.erase(std::next(chosen).base());
+  }
+
+  /** Sends the call, on a new connection if there is none yet. */
+  void Proceed() {
+    m_waitTimer.reset();
     if (m_cancelled || (m_options.m_mayBegin && !m_options.m_mayBegin())) {
       m_outcome.m_error = "the call was withdrawn before it was sent";
+      if (m_connection && !m_cancelled) KeepConnection();
       asio::post(m_pool->m_context,
                  [self = this->shared_from_this()] { self->Finish(); });
       return;
     }
-    TakeIdle();
+    // Nothing that has arrived by now can be the reply to this call.
+    if (m_connection && IsStale(Stream().socket())) m_connection.reset();
     if (m_connection) {
       m_outcome.m_reused = true;
       Stream().expires_after(m_timeout);
@@ -181,42 +268,20 @@
           }
           beast::error_code ignored;
           self->Stream().socket().set_option(tcp::no_delay(true), ignored);
+          if (IsStale(self->Stream().socket())) {
+            self->Drop("the server sent a reply before the call");
+            return;
+          }
           self->Send();
         });
   }
 
-  void Cancel() override {
-    m_cancelled = true;
-    if (m_connection) Stream().close();
-  }
-
- private:
-  void GiveUpWaiting() {
-    // The timer may have expired before its cancellation.
-    if (m_begun) return;
-    m_outcome.m_timedOut = true;
-    m_outcome.m_error = "no connection became free in time";
-    auto handler = std::move(m_handler);
-    m_handler = nullptr;
-    handler(std::move(m_outcome));
-  }
-
-  void TakeIdle() {
-    auto& idle = m_pool->m_addresses[m_address].m_idle;
-    while (!idle.empty() && !m_connection) {
-      auto connection = std::move(idle.back());
-      idle.pop_back();
-      if (!IsStale(connection->m_stream.socket())) {
-        m_connection = std::move(connection);
-      }
-    }
-  }
-
   beast::tcp_stream& Stream() { return m_connection->m_stream; }
 
   void Send() {
     m_outcome.m_stage = CallStage::PartlySent;
-    m_outcome.m_origin = {m_connection->m_number, m_connection->m_replies, {}};
+    m_outcome.m_origin = {
+        m_connection->m_number, m_connection->m_history.m_replies, {}};
     http::async_write(
         Stream(), m_request,
         [self = this->shared_from_this()](beast::error_code aError, size_t) {
@@ -231,7 +296,7 @@
 
   void Read() {
     m_parser.emplace();
-    m_parser->body_limit(m_pool->m_maxAnswerBytes);
+    m_parser->body_limit(m_pool->m_limits.m_maxAnswerBytes);
     ReadMore();
   }
 
@@ -261,18 +326,82 @@
       Fail(aError);
       return;
     }
-    m_outcome.m_stage = CallStage::CompleteReply;
-    ++m_connection->m_replies;
+    if (m_parser->get().result_int() / 100 == 1) {
+      // An interim reply; the final one follows.
+      ReadOn();
+      return;
+    }
+    if (m_parser->need_eof()) {
+      Drop("the reply has no length and may not be whole");
+      return;
+    }
+    const bool keepAlive = m_parser->keep_alive();
     auto message = m_parser->release();
-    auto& reply = m_outcome.m_reply;
-    reply.m_status = static_cast<int>(message.result_int());
-    reply.m_contentType = std::string(message[http::field::content_type]);
-    for (const auto& field : message) {
+    if (m_outcome.m_reused && HoldsAnotherHead(message)) {
+      Drop("the reply consists of parts of two");
+      return;
+    }
+    TakeReply(std::move(message));
+    const ReplyMark mark = MarkOfReply();
+    switch (MatchReply(m_connection->m_history, m_number, mark)) {
+      case ReplyMatch::Repeated:
+        // It was made for an earlier call; the one to this call follows.
+        ++m_pool->m_mismatched;
+        ReadOn();
+        return;
+      case ReplyMatch::Unmarked:
+        Drop("the reply may belong to an earlier call");
+        return;
+      case ReplyMatch::Matches:
+        break;
+    }
+    m_outcome.m_stage = CallStage::CompleteReply;
+    const bool isMarked = NoteReply(m_connection->m_history, mark, SteadyNow());
+    ReturnToPool(keepAlive && isMarked);
+    Finish();
+  }
+
+  template <class Message>
+  void TakeReply(Message aMessage) {
+    HttpReply& reply = m_outcome.m_reply;
+    reply.m_status = static_cast<int>(aMessage.result_int());
+    reply.m_contentType = std::string(aMessage[http::field::content_type]);
+    reply.m_headers.clear();
+    for (const auto& field : aMessage) {
       reply.m_headers.emplace_back(std::string(field.name_string()),
                                    std::string(field.value()));
     }
-    reply.m_body = std::move(message.body());
-    ReturnToPool(message.keep_alive());
+    reply.m_body = std::move(aMessage.body());
+  }
+
+  ReplyMark MarkOfReply() {
+    const HttpReply& reply = m_outcome.m_reply;
+    ReplyMark mark;
+    mark.m_hasBody = !reply.m_body.empty();
+    if (m_pool->m_clock != nullptr) {
+      mark.m_clock = m_pool->m_clock(reply);
+      m_outcome.m_origin.m_clock = mark.m_clock;
+    } else {
+      mark.m_call = ReadCallNumber(reply.Header(kCallNumberHeader));
+    }
+    return mark;
+  }
+
+  /** Reads the next reply on the connection. */
+  void ReadOn() {
+    m_outcome.m_stage = CallStage::Sent;
+    Read();
+  }
+
+  /** The reply counts for no call, and neither does any later one on this
+   *  connection. */
+  void Drop(std::string aError) {
+    ++m_pool->m_mismatched;
+    if (m_outcome.m_stage != CallStage::NotConnected) {
+      m_outcome.m_stage = CallStage::PartlyRead;
+    }
+    m_outcome.m_error = std::move(aError);
+    Stream().close();
     Finish();
   }
 
@@ -281,11 +410,15 @@
     address.m_suspect = false;
     auto& idle = address.m_idle;
     if (!aKeepAlive || m_buffer.size() > 0 ||
-        idle.size() >= m_pool->m_idlePerAddress) {
+        idle.size() >= m_pool->m_limits.m_idlePerAddress) {
       return;
     }
     Stream().expires_never();
-    idle.push_back(std::move(m_connection));
+    KeepConnection();
+  }
+
+  void KeepConnection() {
+    m_pool->m_addresses[m_address].m_idle.push_back(std::move(m_connection));
   }
 
   void Fail(beast::error_code aError) {
@@ -322,6 +455,7 @@
   std::unique_ptr<Connection> m_connection;
   beast::flat_buffer m_buffer;
   std::optional<http::response_parser<http::string_body>> m_parser;
+  CallNumber m_number;  ///< 0: not numbered.
   CallOutcome m_outcome;
 };
 
@@ -348,10 +482,9 @@
   return FindHeader(m_headers, aName);
 }
 
-HttpClient::HttpClient(asio::io_context& aContext, size_t aIdlePerAddress,
-                       size_t aMaxAnswerBytes, size_t aBusyPerAddress)
-    : m_pool(std::make_shared<Pool>(aContext, aIdlePerAddress, aMaxAnswerBytes,
-                                    aBusyPerAddress)) {}
+HttpClient::HttpClient(asio::io_context& aContext, HttpClientLimits aLimits,
+                       ReplyClock aClock)
+    : m_pool(std::make_shared<Pool>(aContext, aLimits, aClock)) {}
 
 HttpClient::~HttpClient() {
   // A waiting call keeps the pool alive, and the pool keeps the call.
@@ -375,4 +508,6 @@
 
 uint64_t HttpClient::Connections() const { return m_pool->m_connections; }
 
+uint64_t HttpClient::MismatchedReplies() const { return m_pool->m_mismatched; }
+
 }  // namespace bronze
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,5 +1,10 @@
 /**
  * @file http_client.h HTTP client with a pool of idle connections.
+ *
+ * A reply counts only for the call that it was made for (reply_match_func.h):
+ * the server copies the number of the call into the reply, or the reply tells
+ * the time on the server's clock. A connection to a server that does neither
+ * carries one call.
  */
 
 #ifndef BRONZE_NET_HTTP_CLIENT_H_
@@ -10,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "core/base/time_type.h"
 #include "core/error/error_type.h"
@@ -31,13 +37,25 @@
   CallStage m_stage = CallStage::NotConnected;
   bool m_timedOut = false;
   bool m_reused = false;  ///< The connection came from the pool.
-  ReplyOrigin m_origin;   ///< For logs; without the clock.
+  ReplyOrigin m_origin;   ///< For logs.
   HttpReply m_reply;      ///< Valid only at CallStage::CompleteReply.
   std::string m_error;    ///< Empty if m_stage is CompleteReply.
 };
 
 using CallHandler = std::function<void(CallOutcome aOutcome)>;
 
+/** Reads the time on the server's clock from a reply. Empty: it tells none, or
+ *  its body is not whole. */
+using ReplyClock = std::optional<ServerMillis> (*)(const HttpReply& aReply);
+
+/** Limits on the connections and replies of one client. */
+struct HttpClientLimits {
+  size_t m_idlePerAddress = 0;  ///< Idle connections to one address.
+  size_t m_maxAnswerBytes = 0;
+  /** Connections to one address that carry a call; calls beyond it wait. */
+  size_t m_busyPerAddress = SIZE_MAX;
+};
+
 /** How a call is treated beside others to the same address. */
 struct CallOptions {
   bool m_urgent = false;  ///< Goes before waiting calls that are not urgent.
@@ -65,11 +83,10 @@
  */
 class HttpClient {
  public:
-  /** @param aIdlePerAddress limit of idle connections to one address.
-   *  @param aBusyPerAddress limit of connections to one address that carry a
-   *  call; calls beyond it wait. */
-  HttpClient(boost::asio::io_context& aContext, size_t aIdlePerAddress,
-             size_t aMaxAnswerBytes, size_t aBusyPerAddress = SIZE_MAX);
+  /** @param aClock for servers whose replies tell the time of their steady
+   *  clock; null: the client numbers its calls instead. */
+  HttpClient(boost::asio::io_context& aContext, HttpClientLimits aLimits,
+             ReplyClock aClock = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -82,6 +99,9 @@
 
   /** @return the number of connections that were opened. */
   [[nodiscard]] uint64_t Connections() const;
+  /** @return the number of replies that were dropped since they did not match
+   *  their call. */
+  [[nodiscard]] uint64_t MismatchedReplies() const;
 
  private:
   struct Pool;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -51,6 +52,19 @@
 /** Size of one read while discarding. */
 constexpr size_t kDiscardBytes = size_t{64} << 10;
 
+/** @return the number that the client has given to the call; empty if there is
+ *          none. Other texts are not sent back. */
+template <class Message>
+std::string CallNumberOf(const Message& aMessage) {
+  constexpr size_t kMaxDigits = 20;
+  const auto text = aMessage[kCallNumberHeader];
+  const bool valid = text.size() <= kMaxDigits &&
+                     std::all_of(text.begin(), text.end(), [](char aDigit) {
+                       return aDigit >= '0' && aDigit <= '9';
+                     });
+  return valid ? std::string(text) : std::string();
+}
+
 template <class SharedState>
 class Session : public std::enable_shared_from_this<Session<SharedState>> {
  public:
@@ -150,6 +164,7 @@
 
   void RejectInput(beast::error_code aError) {
     m_keepAlive = false;
+    m_callNumber.clear();
     ErrorKind kind = ErrorKind::BadRequest;
     if (aError == http::error::header_limit) kind = ErrorKind::HeaderTooLarge;
     if (aError == http::error::body_limit) kind = ErrorKind::BodyTooLarge;
@@ -190,6 +205,7 @@
     for (const auto& [name, value] : aReply.m_headers) {
       m_response->set(name, value);
     }
+    if (!m_callNumber.empty()) m_response->set(kCallNumberHeader, m_callNumber);
     if (aReply.m_truncateAfter) m_keepAlive = false;
     m_response->keep_alive(m_keepAlive);
     m_response->body() = std::move(aReply.m_body);
@@ -261,6 +277,7 @@
   std::optional<http::response<http::string_body>> m_response;
   std::function<void()> m_onDisconnect;
   uint64_t m_call = 0;        ///< Number of the current call.
+  std::string m_callNumber;   ///< Sent back; empty: the call has none.
   bool m_inProgress = false;  ///< The current call has no reply yet.
   bool m_keepAlive = true;
   bool m_unread = false;  ///< The current call was rejected before its end.
@@ -304,6 +321,7 @@
   auto message = m_parser->release();
   m_parser.reset();
   m_keepAlive = message.keep_alive();
+  m_callNumber = CallNumberOf(message);
   m_stream.expires_never();
   HttpCall call;
   call.m_method = std::string(message.method_string());
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -19,6 +19,9 @@
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/** Number of a call; the server copies it into its reply. */
+inline constexpr char kCallNumberHeader[] = "Bronze-Call";
+
 struct HttpCall {
   std::string m_method;
   std::string m_target;  ///< Path and query.
--- a/src/platform/advice_client.cpp
+++ b/src/platform/advice_client.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /** The scheduler has at most this many calls in progress at a time. */
-constexpr size_t kIdleConnections = 2;
+constexpr int64_t kCallsInProgress = 2;
 constexpr size_t kMaxAnswerBytes = size_t{64} << 10;
 /** Added to the decision time given in the configuration. */
 constexpr Duration kAnswerTimeoutMargin = seconds(1);
@@ -27,7 +27,8 @@
     boost::asio::io_context& aContext,
     std::optional<boost::asio::ip::tcp::endpoint> aAddress)
     : m_address(std::move(aAddress)),
-      m_client(aContext, kIdleConnections, kMaxAnswerBytes) {}
+      // Nothing in an answer names its call, so a connection carries one.
+      m_client(aContext, {0, kMaxAnswerBytes}) {}
 
 void AdviceClient::Ask(const sched::AdviceOrder& aOrder,
                        const std::vector<RunnerId>& aRunners,
@@ -51,7 +52,7 @@
       aOrder.m_policy.m_decision +
       aOrder.m_policy.m_perRunner * static_cast<int64_t>(aRunners.size());
   m_client.Call(
-      *m_address, call, decision * kIdleConnections + kAnswerTimeoutMargin,
+      *m_address, call, decision * kCallsInProgress + kAnswerTimeoutMargin,
       [handler = std::move(aHandler)](CallOutcome aOutcome) {
         if (aOutcome.m_stage != CallStage::CompleteReply) {
           handler(MakeError(ErrorKind::ConnectionFailed, aOutcome.m_error));
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -32,15 +32,24 @@
  *  running. */
 const CallOptions kUrgent{true, {}};
 
+std::optional<sched::RunnerMillis> ClockOf(const CallOutcome& aOutcome) {
+  const auto clock = aOutcome.m_origin.m_clock;
+  if (aOutcome.m_stage != CallStage::CompleteReply || !clock) return {};
+  return sched::RunnerMillis(clock->Value());
+}
+
 OrderOutcome OutcomeOf(const CallOutcome& aOutcome) {
   if (aOutcome.m_stage == CallStage::NotConnected) {
     return OrderOutcome::NotSent;
   }
   if (aOutcome.m_stage != CallStage::CompleteReply)
     return OrderOutcome::Unknown;
+  // Every answer with a body tells the clock, so without it the answer is not
+  // whole or not a runner's.
+  const bool isWhole = ClockOf(aOutcome).has_value();
   switch (aOutcome.m_reply.m_status) {
     case 200:
-      return OrderOutcome::Applied;
+      return isWhole ? OrderOutcome::Applied : OrderOutcome::Unknown;
     case 421:
       return OrderOutcome::WrongInstance;
     case 400:
@@ -53,7 +62,7 @@
       return OrderOutcome::Unknown;
   }
   const auto body = ParseJson(aOutcome.m_reply.m_body);
-  if (!body) return OrderOutcome::RefusedOther;
+  if (!isWhole || !body) return OrderOutcome::Unknown;
   JsonReader reader(body.value());
   const std::string reason = reader.Text("reason");
   if (reason == "fence") return OrderOutcome::RefusedFence;
@@ -64,17 +73,6 @@
   return OrderOutcome::RefusedOther;
 }
 
-std::optional<sched::RunnerMillis> ClockOf(const CallOutcome& aOutcome) {
-  if (aOutcome.m_stage != CallStage::CompleteReply) return {};
-  const auto body = ParseJson(aOutcome.m_reply.m_body);
-  if (!body) return {};
-  JsonReader reader(body.value());
-  reader.Require("clock_ms");
-  const int64_t clock = reader.Integer("clock_ms", 0, 0, kMaxExact);
-  if (reader.Failed()) return {};
-  return sched::RunnerMillis(clock);
-}
-
 std::string ErrorOf(const CallOutcome& aOutcome) {
   if (aOutcome.m_stage == CallStage::CompleteReply) {
     return std::to_string(aOutcome.m_reply.m_status);
@@ -82,28 +80,18 @@
   return aOutcome.m_error;
 }
 
-/** Where the answer came from, with the runner's clock. */
-ReplyOrigin OriginOf(const CallOutcome& aOutcome,
-                     std::optional<sched::RunnerMillis> aClock) {
-  ReplyOrigin origin = aOutcome.m_origin;
-  if (aClock) origin.m_clock = ServerMillis(aClock->Value());
-  return origin;
-}
-
 auto OrderHandler(std::function<void(OrderAnswer)> aHandler) {
   return [handler = std::move(aHandler)](CallOutcome aOutcome) {
-    handler({OutcomeOf(aOutcome),
-             {},
-             ErrorOf(aOutcome),
-             OriginOf(aOutcome, ClockOf(aOutcome))});
+    handler({OutcomeOf(aOutcome), {}, ErrorOf(aOutcome), aOutcome.m_origin});
   };
 }
 
 }  // namespace
 
 RunnerClient::RunnerClient(boost::asio::io_context& aContext)
-    : m_client(aContext, kConnectionsPerRunner, kMaxAnswerBytes,
-               kConnectionsPerRunner) {}
+    : m_client(aContext,
+               {kConnectionsPerRunner, kMaxAnswerBytes, kConnectionsPerRunner},
+               ReadRunnerClock) {}
 
 void RunnerClient::Post(const RunnerTarget& aTarget, std::string aPath,
                         std::string aBody, Duration aTimeout,
@@ -141,9 +129,8 @@
   if (!aOrder.m_ticket.empty()) body["ticket"] = aOrder.m_ticket;
   Post(aTarget, "/bronzeworks/run-start", json::serialize(body), kOrderTimeout,
        [handler = std::move(aHandler)](CallOutcome aOutcome) {
-         const auto clock = ClockOf(aOutcome);
-         handler({OutcomeOf(aOutcome), clock, ErrorOf(aOutcome),
-                  OriginOf(aOutcome, clock)});
+         handler({OutcomeOf(aOutcome), ClockOf(aOutcome), ErrorOf(aOutcome),
+                  aOutcome.m_origin});
        },
        {false, std::move(aMayBegin)});
 }
@@ -186,12 +173,11 @@
         RenewalAnswer answer;
         answer.m_outcome = OutcomeOf(aOutcome);
         answer.m_error = ErrorOf(aOutcome);
-        answer.m_origin = OriginOf(aOutcome, {});
+        answer.m_origin = aOutcome.m_origin;
         if (answer.m_outcome == OrderOutcome::Applied) {
           auto report = DecodeRunnerReport(aOutcome.m_reply.m_body);
           if (report) {
             answer.m_report = std::move(report.value());
-            answer.m_origin = OriginOf(aOutcome, answer.m_report.m_clock);
           } else {
             answer.m_outcome = OrderOutcome::Unknown;
             answer.m_error = report.error().m_message;
--- a/src/platform/runner_client.h
+++ b/src/platform/runner_client.h
@@ -56,6 +56,9 @@
 
   /** @return the number of connections to runners that were opened. */
   [[nodiscard]] uint64_t Connections() const { return m_client.Connections(); }
+  [[nodiscard]] uint64_t MismatchedReplies() const {
+    return m_client.MismatchedReplies();
+  }
 
  private:
   void Post(const RunnerTarget& aTarget, std::string aPath, std::string aBody,
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/url/rfc/unreserved_chars.hpp>
 
 #include "platform/json_reader.h"
+#include "platform/wire_decode.h"
 
 namespace bronze {
 
@@ -99,8 +100,16 @@
       return StoreOutcome::HistoryLost;
     case 412:
       return StoreOutcome::Conflict;
-    default:
+    case 400:
+    case 403:
+    case 404:
+    case 429:
+    case 503:
+    case 507:
       return StoreOutcome::Refused;
+    default:
+      // Only the statuses above say that nothing was done.
+      return StoreOutcome::Unknown;
   }
 }
 
@@ -128,7 +137,10 @@
       if (ReadRow(value, row)) result.m_rows.push_back(std::move(row));
     }
   }
-  if (reader.Failed()) result.m_outcome = StoreOutcome::Malformed;
+  // Every answer about rows tells the store's clock.
+  if (reader.Failed() || !result.m_storeTime) {
+    result.m_outcome = StoreOutcome::Malformed;
+  }
   return result;
 }
 
@@ -138,7 +150,7 @@
                          boost::asio::ip::tcp::endpoint aAddress,
                          std::function<TimePoint()> aClock)
     : m_address(std::move(aAddress)),
-      m_client(aContext, kIdleConnections, kMaxAnswerBytes),
+      m_client(aContext, {kIdleConnections, kMaxAnswerBytes}, ReadStoreClock),
       m_clock(std::move(aClock)) {}
 
 std::optional<StoreMillis> StoreClient::StoreTimeUpperBound(
@@ -196,13 +208,9 @@
         handler = std::move(aHandler)](CallOutcome aOutcome) {
          RowsResult rows = DecodeRows(aOutcome);
          UpdateClockReading(rows, askedAt);
-         ReplyOrigin origin = aOutcome.m_origin;
-         if (rows.m_storeTime) {
-           origin.m_clock = ServerMillis(rows.m_storeTime->Value());
-         }
          const bool answered = aOutcome.m_stage == CallStage::CompleteReply;
          handler({rows.m_outcome, rows.m_version, std::move(rows.m_rows),
-                  answered ? aOutcome.m_reply.m_status : 0, origin});
+                  answered ? aOutcome.m_reply.m_status : 0, aOutcome.m_origin});
        });
 }
 
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -110,6 +110,9 @@
 
   [[nodiscard]] uint64_t Calls() const { return m_calls; }
   [[nodiscard]] uint64_t Failures() const { return m_failures; }
+  [[nodiscard]] uint64_t MismatchedReplies() const {
+    return m_client.MismatchedReplies();
+  }
 
  private:
   void Call(HttpCall aCall, Duration aTimeout,
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -395,4 +395,28 @@
   return answer;
 }
 
+namespace {
+
+std::optional<ServerMillis> ReadClock(const HttpReply& aReply,
+                                      std::string_view aName) {
+  if (aReply.m_body.empty()) return {};
+  const auto body = ParseJson(aReply.m_body);
+  if (!body) return {};
+  JsonReader reader(body.value());
+  reader.Require(aName);
+  const int64_t clock = reader.Integer(aName, 0, 0, kMaxExact);
+  if (reader.Failed()) return {};
+  return ServerMillis(clock);
+}
+
+}  // namespace
+
+std::optional<ServerMillis> ReadRunnerClock(const HttpReply& aReply) {
+  return ReadClock(aReply, "clock_ms");
+}
+
+std::optional<ServerMillis> ReadStoreClock(const HttpReply& aReply) {
+  return ReadClock(aReply, "now_ms");
+}
+
 }  // namespace bronze
--- a/src/platform/wire_decode.h
+++ b/src/platform/wire_decode.h
@@ -9,9 +9,11 @@
 #include <string_view>
 
 #include "core/error/error_type.h"
+#include "core/message/reply_match_type.h"
 #include "core/sched/advice_cmd.h"
 #include "core/sched/live_config_type.h"
 #include "core/sched/runner_type.h"
+#include "net/http_type.h"
 
 namespace bronze {
 
@@ -46,6 +48,13 @@
 /** Decodes a job id: 16 hexadecimal digits. */
 [[nodiscard]] Result<JobId> DecodeJobId(std::string_view aText);
 
+/** Reads the clock of a runner from its answer. */
+[[nodiscard]] std::optional<ServerMillis> ReadRunnerClock(
+    const HttpReply& aReply);
+/** Reads the clock of the store from its answer. */
+[[nodiscard]] std::optional<ServerMillis> ReadStoreClock(
+    const HttpReply& aReply);
+
 }  // namespace bronze
 
 #endif  // BRONZE_PLATFORM_WIRE_DECODE_H_
--- a/src/scheduler/entry_metrics.cpp
+++ b/src/scheduler/entry_metrics.cpp
@@ -73,6 +73,16 @@
   AppendCount(text, "store_failures_total",
               m_store.Failures() + m_configStore.Failures());
   AppendCount(text, "runner_connections_total", m_runners.Connections());
+  const auto appendMismatched = [&text](std::string_view aServer,
+                                        uint64_t aCount) {
+    AppendCount(
+        text, fmt::format("replies_mismatched_total{{server=\"{}\"}}", aServer),
+        aCount);
+  };
+  appendMismatched("runner", m_runners.MismatchedReplies());
+  appendMismatched(
+      "store", m_store.MismatchedReplies() + m_configStore.MismatchedReplies());
+  appendMismatched("peer", m_peers.MismatchedReplies());
   AppendCount(text, "log_dropped_total", m_log.Dropped());
   AppendCount(text, "config_version", Config()->m_version.Value());
   AppendCount(text, "cells", m_layout.m_cells);
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -78,6 +78,7 @@
           const size_t begin = aSession->m_input.find(' ') + 1;
           m_targets.push_back(aSession->m_input.substr(
               begin, aSession->m_input.find(' ', begin) - begin));
+          const std::string number = CallNumberLine(aSession->m_input);
           aSession->m_input.clear();
           if (m_silent) {
             // An open connection without an answer.
@@ -86,8 +87,8 @@
           }
           aSession->m_partsLeft = m_parts;
           aSession->m_output = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                               std::to_string(m_parts * kPart.size()) +
-                               "\r\n\r\n";
+                               std::to_string(m_parts * kPart.size()) + "\r\n" +
+                               number + "\r\n";
           Answer(aSession);
         });
   }
@@ -113,6 +114,14 @@
         });
   }
 
+  /** @return the header with the call's number, which replies repeat; empty if
+   *  there is none. */
+  static std::string CallNumberLine(const std::string& aHead) {
+    const size_t begin = aHead.find(kCallNumberHeader);
+    if (begin == std::string::npos) return {};
+    return aHead.substr(begin, aHead.find('\n', begin) + 1 - begin);
+  }
+
   inline static const std::string kPart = std::string(1000, 'x');
 
   tcp::acceptor m_acceptor;
@@ -139,7 +148,7 @@
 BOOST_AUTO_TEST_CASE(CallsWaitForAConnection) {
   asio::io_context context;
   SlowServer server(context, milliseconds(5));
-  HttpClient client(context, 3, kMaxAnswer, 3);
+  HttpClient client(context, {3, kMaxAnswer, 3});
   int answered = 0;
   for (int i = 0; i < 30; ++i) {
     client.Call(server.Address(), Get("/" + std::to_string(i)), seconds(20),
@@ -158,7 +167,7 @@
 BOOST_AUTO_TEST_CASE(UrgentCallsGoFirst) {
   asio::io_context context;
   SlowServer server(context, milliseconds(2));
-  HttpClient client(context, 1, kMaxAnswer, 1);
+  HttpClient client(context, {1, kMaxAnswer, 1});
   int answered = 0;
   const auto count = [&](const CallOutcome&) {
     if (++answered == 6) context.stop();
@@ -180,7 +189,7 @@
   asio::io_context context;
   SlowServer server(context, milliseconds(1));
   server.Silence(true);
-  HttpClient client(context, 4, kMaxAnswer, 4);
+  HttpClient client(context, {4, kMaxAnswer, 4});
   int ended = 0;
   constexpr int kCalls = 40;
   for (int i = 0; i < kCalls; ++i) {
@@ -206,7 +215,7 @@
   SlowServer server(serverContext, milliseconds(10));
   std::thread serverThread([&] { serverContext.run(); });
   asio::io_context context;
-  HttpClient client(context, 1, kMaxAnswer, 1);
+  HttpClient client(context, {1, kMaxAnswer, 1});
   int firstEnded = 0;
   int secondEnded = 0;
   CallStage second = CallStage::CompleteReply;
@@ -239,7 +248,7 @@
 BOOST_AUTO_TEST_CASE(WithdrawnCallIsNotSent) {
   asio::io_context context;
   SlowServer server(context, milliseconds(5));
-  HttpClient client(context, 1, kMaxAnswer, 1);
+  HttpClient client(context, {1, kMaxAnswer, 1});
   bool allowed = true;
   int ended = 0;
   CallStage second = CallStage::CompleteReply;
@@ -266,7 +275,7 @@
   asio::io_context context;
   SlowServer server(context, milliseconds(20));
   server.SetParts(25);
-  HttpClient client(context, 1, kMaxAnswer);
+  HttpClient client(context, {1, kMaxAnswer});
   CallOutcome outcome;
   client.Call(server.Address(), Get("/"), milliseconds(250),
               [&](CallOutcome aOutcome) {
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -18,7 +18,7 @@
 struct Fixture {
   explicit Fixture(HttpHandler aHandler)
       : m_server(m_threads, {}, m_counters, std::move(aHandler)),
-        m_client(m_context, kIdlePerAddress, kMaxAnswerBytes) {
+        m_client(m_context, {kIdlePerAddress, kMaxAnswerBytes}) {
     m_address =
         m_server.Listen({boost::asio::ip::address_v4::loopback(), 0}).value();
   }
--- a/tests/net/repeated_answer_test.cpp
+++ b/tests/net/repeated_answer_test.cpp
@@ -31,7 +31,7 @@
                 m_server.Listen({boost::asio::ip::address_v4::loopback(), 0})
                     .value(),
                 1),
-        m_client(m_context, 2, kMaxAnswer, 2) {}
+        m_client(m_context, {2, kMaxAnswer, 2}) {}
   ~Fixture() { m_threads.Stop(); }
 
   /** Makes calls in turn, aPause after the outcome of the one before. */
--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -122,7 +122,7 @@
   NodeFixture()
       : m_platformThreads(2),
         m_store(m_platformThreads),
-        m_client(m_platformThreads.Context(0), 2, size_t{1} << 20) {
+        m_client(m_platformThreads.Context(0), {2, size_t{1} << 20}) {
     m_storeAddress = m_store.Listen();
     SetCells(1);
     PutConfig(1, "queue");
--- a/tests/standin/runner_test.cpp
+++ b/tests/standin/runner_test.cpp
@@ -57,7 +57,7 @@
         {{"watch", {{"min_ms", 600'000}, {"max_ms", 600'000}}}}}});
   std::vector<std::shared_ptr<HttpExchange>> exchanges;
   boost::asio::io_context context;
-  HttpClient client(context, 0, 1 << 20);
+  HttpClient client(context, {0, 1 << 20});
   const auto send = [&](const std::string& aKind) {
     exchanges.push_back(
         client.Call(ParseAddress(m_addresses.at("runner-0")).value(),
@@ -117,7 +117,7 @@
   Set(kEndlessPlan);
   const std::string address = m_addresses.at("runner-0");
   boost::asio::io_context context;
-  HttpClient client(context, 0, 1 << 20);
+  HttpClient client(context, {0, 1 << 20});
   CallOutcome running;
   client.Call(ParseAddress(address).value(), Request("plan", "m"), seconds(600),
               [&](CallOutcome aOutcome) { running = aOutcome; });
--- a/tests/standin/standin_fixture.h
+++ b/tests/standin/standin_fixture.h
@@ -28,7 +28,7 @@
   StandinFixture() : StandinFixture(DefaultOptions()) {}
   explicit StandinFixture(const StandinOptions& aOptions)
       : m_standin(aOptions, m_threads, m_control),
-        m_client(m_context, kIdle, kMaxAnswer) {
+        m_client(m_context, {kIdle, kMaxAnswer}) {
     m_platform = AddressText(m_standin.Start().value());
     m_controlThread = std::thread([this] { m_control.run(); });
     const json list = Get("/vms");
--- a/tests/system/system_fixture.cpp
+++ b/tests/system/system_fixture.cpp
@@ -98,7 +98,7 @@
               "bronze-test-{}-{}", ::getpid(),
               std::chrono::steady_clock::now().time_since_epoch().count())),
       m_context(1),
-      m_client(m_context, 0, size_t{16} << 20) {
+      m_client(m_context, {0, size_t{16} << 20}) {
   std::filesystem::create_directories(m_folder);
 }
 
