platform: an answer holds what its call asked for, and is not older than it

Found by reading; a second answer that the server makes anew has a newer clock than the first, so that its clock alone does not tell it apart. A reply whose clock is before that of the server when the call was sent, as far as the last reply on the connection tells it, is dropped. A runner's report without one of its lists counted as one with an empty list, so that all runs there counted as ended; a read of rows without a list of rows counted as one without rows, and rows of another table or part were taken; a transaction counted as done under a version that is not higher than those that it expects. Each of these leaves the outcome open now. Tests: reports without a list are refused (accepted before); the tests of net, the platform and the node pass.

--- a/src/core/message/reply_match_func.cpp
+++ b/src/core/message/reply_match_func.cpp
@@ -14,6 +14,8 @@
 /** A clock that counts whole milliseconds and is at most 2 % slow shows a
  *  higher value after this time. */
 constexpr Duration kClockStep = milliseconds(2);
+/** Lowest rate of a server's clock. */
+constexpr int64_t kLeastRatePercent = 98;
 
 }  // namespace
 
@@ -25,7 +27,10 @@
   if (aMark.m_clock) {
     const bool isNewer =
         !aHistory.m_newestClock || *aMark.m_clock > *aHistory.m_newestClock;
-    return isNewer ? ReplyMatch::Matches : ReplyMatch::Repeated;
+    if (!isNewer) return ReplyMatch::Repeated;
+    const bool isTooEarly =
+        aHistory.m_clockAtSend && *aMark.m_clock < *aHistory.m_clockAtSend;
+    return isTooEarly ? ReplyMatch::TooEarly : ReplyMatch::Matches;
   }
   // All earlier replies on a kept connection had a mark, so this one repeats
   // none of them. But a part of an earlier one, followed by a whole one, would
@@ -35,18 +40,6 @@
                                      : ReplyMatch::Unmarked;
 }
 
-std::string_view NameOf(ReplyMatch aMatch) {
-  switch (aMatch) {
-    case ReplyMatch::Matches:
-      return "matches";
-    case ReplyMatch::Repeated:
-      return "repeated";
-    case ReplyMatch::Unmarked:
-      return "unmarked";
-  }
-  return "unmarked";
-}
-
 bool NoteReply(ReplyHistory& aHistory, const ReplyMark& aMark, TimePoint aNow) {
   ++aHistory.m_replies;
   aHistory.m_lastReplyAt = aNow;
@@ -57,6 +50,15 @@
   return aMark.m_call || aMark.m_clock;
 }
 
+void NoteCall(ReplyHistory& aHistory, TimePoint aNow) {
+  if (!aHistory.m_newestClock) return;
+  // The clock that a reply tells was read before the reply arrived.
+  const auto elapsed = std::chrono::duration_cast<milliseconds>(
+      (aNow - aHistory.m_lastReplyAt) * kLeastRatePercent / 100);
+  aHistory.m_clockAtSend =
+      *aHistory.m_newestClock + ServerMillis(elapsed.count());
+}
+
 TimePoint NextCallAt(const ReplyHistory& aHistory) {
   return aHistory.m_newestClock ? aHistory.m_lastReplyAt + kClockStep
                                 : TimePoint();
--- a/src/core/message/reply_match_func.h
+++ b/src/core/message/reply_match_func.h
@@ -12,8 +12,6 @@
 #ifndef BRONZE_CORE_MESSAGE_REPLY_MATCH_FUNC_H_
 #define BRONZE_CORE_MESSAGE_REPLY_MATCH_FUNC_H_
 
-#include <string_view>
-
 #include "core/message/reply_match_type.h"
 
 namespace bronze {
@@ -21,14 +19,14 @@
 [[nodiscard]] ReplyMatch MatchReply(const ReplyHistory& aHistory,
                                     CallNumber aCall, const ReplyMark& aMark);
 
-/** @return the name of the result, for logs and metrics. */
-[[nodiscard]] std::string_view NameOf(ReplyMatch aMatch);
-
 /** Records a reply that matches its call.
  *  @return whether the connection may carry another call: without a mark, the
  *          repetition of this reply could not be told from the next reply. */
 bool NoteReply(ReplyHistory& aHistory, const ReplyMark& aMark, TimePoint aNow);
 
+/** Records that the next call is being sent. */
+void NoteCall(ReplyHistory& aHistory, TimePoint aNow);
+
 /** @return the earliest time of the next call: before it, the clock in its
  *          reply may be the same as in the last one. */
 [[nodiscard]] TimePoint NextCallAt(const ReplyHistory& aHistory);
--- a/src/core/message/reply_match_type.h
+++ b/src/core/message/reply_match_type.h
@@ -43,11 +43,14 @@
   /** Highest of them; each reply on a kept connection had a mark. */
   std::optional<ServerMillis> m_newestClock;
   TimePoint m_lastReplyAt;
+  /** The server's clock was not before this when the last call was sent. */
+  std::optional<ServerMillis> m_clockAtSend;
 };
 
 enum class ReplyMatch : uint8_t {
   Matches,
   Repeated,  ///< It has the mark of an earlier reply.
+  TooEarly,  ///< It was made before the call was sent.
   Unmarked,  ///< It is not the first reply and has no mark.
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -282,6 +282,7 @@
     m_outcome.m_stage = CallStage::PartlySent;
     m_outcome.m_origin = {
         m_connection->m_number, m_connection->m_history.m_replies, {}};
+    NoteCall(m_connection->m_history, SteadyNow());
     http::async_write(
         Stream(), m_request,
         [self = this->shared_from_this()](beast::error_code aError, size_t) {
@@ -349,6 +350,7 @@
         ++m_pool->m_mismatched;
         ReadOn();
         return;
+      case ReplyMatch::TooEarly:
       case ReplyMatch::Unmarked:
         Drop("the reply may belong to an earlier call");
         return;
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
@@ -113,7 +114,7 @@
   }
 }
 
-RowsResult DecodeRows(const CallOutcome& aOutcome) {
+RowsResult DecodeRows(const CallOutcome& aOutcome, bool aIsRead) {
   RowsResult result;
   result.m_outcome = OutcomeOf(aOutcome);
   if (result.m_outcome != StoreOutcome::Done &&
@@ -131,6 +132,8 @@
   result.m_truncated = reader.Flag("truncated");
   const int64_t storeTime = reader.Integer("now_ms", -1, -1, kMaxExactInteger);
   if (storeTime >= 0) result.m_storeTime = StoreMillis(storeTime);
+  // The answer to a read without rows has an empty list.
+  if (aIsRead) reader.Require("rows");
   if (const json::array* rows = reader.List("rows")) {
     for (const json::value& value : *rows) {
       StoreRow row;
@@ -144,6 +147,15 @@
   return result;
 }
 
+/** @return the highest version in the conditions. */
+RowVersion NewestExpected(const StoreTransaction& aTransaction) {
+  RowVersion newest;
+  for (const RowCondition& condition : aTransaction.m_expected) {
+    newest = std::max(newest, condition.m_version);
+  }
+  return newest;
+}
+
 }  // namespace
 
 StoreClient::StoreClient(boost::asio::io_context& aContext,
@@ -204,9 +216,13 @@
   call.m_headers = {{"Content-Type", "application/json"}};
   call.m_body = TransactionBody(aTransaction);
   Call(std::move(call), aTimeout,
-       [this, askedAt = m_clock(),
+       [this, askedAt = m_clock(), newest = NewestExpected(aTransaction),
         handler = std::move(aHandler)](CallOutcome aOutcome) {
-         RowsResult rows = DecodeRows(aOutcome);
+         RowsResult rows = DecodeRows(aOutcome, false);
+         // Each transaction gets a higher version than those before it.
+         if (rows.m_outcome == StoreOutcome::Done && rows.m_version <= newest) {
+           rows.m_outcome = StoreOutcome::Malformed;
+         }
          UpdateClockReading(rows, askedAt);
          const bool answered = aOutcome.m_stage == CallStage::CompleteReply;
          handler({rows.m_outcome, rows.m_version, std::move(rows.m_rows),
@@ -215,14 +231,19 @@
 }
 
 void StoreClient::ReadRows(std::string aTarget, Duration aTimeout,
+                           std::function<bool(const RowKey&)> aBelongs,
                            std::function<void(RowsResult)> aHandler) {
   HttpCall call;
   call.m_method = "GET";
   call.m_target = std::move(aTarget);
   Call(std::move(call), aTimeout,
-       [this, askedAt = m_clock(),
+       [this, askedAt = m_clock(), belongs = std::move(aBelongs),
         handler = std::move(aHandler)](CallOutcome aOutcome) {
-         RowsResult rows = DecodeRows(aOutcome);
+         RowsResult rows = DecodeRows(aOutcome, true);
+         const bool isForeign = !std::all_of(
+             rows.m_rows.begin(), rows.m_rows.end(),
+             [&](const StoreRow& aRow) { return belongs(aRow.m_key); });
+         if (isForeign) rows.m_outcome = StoreOutcome::Malformed;
          UpdateClockReading(rows, askedAt);
          handler(std::move(rows));
        });
@@ -234,16 +255,24 @@
   std::string target = fmt::format("/bronzeworks/rows-get?table={}&part={}",
                                    QueryText(aTable), QueryText(aPart));
   if (!aFrom.empty()) target += "&from=" + QueryText(aFrom);
-  ReadRows(std::move(target), aTimeout, std::move(aHandler));
+  ReadRows(
+      std::move(target), aTimeout,
+      [aTable, aPart](const RowKey& aKey) {
+        return aKey.m_table == aTable && aKey.m_part == aPart;
+      },
+      std::move(aHandler));
 }
 
 void StoreClient::Watch(const std::string& aTable, RowVersion aAfter,
                         Duration aWait,
                         std::function<void(RowsResult)> aHandler) {
   const auto wait = std::chrono::duration_cast<milliseconds>(aWait).count();
-  ReadRows(fmt::format("/bronzeworks/rows-feed?table={}&after={}&wait_ms={}",
-                       aTable, aAfter.Value(), wait),
-           aWait + kWatchMargin, std::move(aHandler));
+  ReadRows(
+      fmt::format("/bronzeworks/rows-feed?table={}&after={}&wait_ms={}", aTable,
+                  aAfter.Value(), wait),
+      aWait + kWatchMargin,
+      [aTable](const RowKey& aKey) { return aKey.m_table == aTable; },
+      std::move(aHandler));
 }
 
 }  // namespace bronze
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -117,7 +117,9 @@
  private:
   void Call(HttpCall aCall, Duration aTimeout,
             std::function<void(CallOutcome)> aHandler);
+  /** @param aBelongs whether a row with that key can be in the answer. */
   void ReadRows(std::string aTarget, Duration aTimeout,
+                std::function<bool(const RowKey&)> aBelongs,
                 std::function<void(RowsResult)> aHandler);
   void UpdateClockReading(const RowsResult& aResult, TimePoint aAskedAt);
 
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -305,6 +305,9 @@
       sched::RunnerMillis(reader.Integer("clock_ms", 0, 0, kMaxExact));
   report.m_startedAt =
       sched::UnixMillis(reader.Integer("born", 0, 0, kMaxExact));
+  // Without a list, nothing is known of the runs that it would hold.
+  reader.Require("running");
+  reader.Require("finished");
   const json::array* running = reader.List("running");
   const json::array* ended = reader.List("finished");
   if (reader.Failed()) {
