sched: the pending jobs of a queue are a set that follows the jobs' states

Cause: Cell::m_pending was a counter that five functions changed, each by its own condition. RestoreJob ends a job that is stored as ended with EndJob, which took it from the new owner's counter although it had never been added. The counter stopped at 0, which hid the error. AdoptJob takes the same path.

Ruled out: a condition in RestoreJob alone (the counter would still depend on all places agreeing); a count over all jobs per request (20000 jobs).

Change: m_pending holds the ids of the pending jobs. UpdatePending puts a job in or out by its state, RemoveFromPending precedes its removal, and nothing else changes the set. The property tests compare it with the states of all jobs after each step.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -229,8 +230,11 @@
   std::vector<Order> m_orders;  ///< To be sent, in this order.
   std::map<StepKey, StepAdvice> m_advice;
   uint32_t m_adviceCalls = 0;  ///< Calls without an answer yet.
-  /** Number of jobs without a started task. */
-  std::map<QueueId, uint32_t> m_pending;
+  /** Per queue: exactly the active jobs without a schedule and without a
+   *  started task. Only UpdatePending and RemoveFromPending (task_internal.h)
+   *  change it. In a set, no job counts twice or is subtracted although it was
+   *  never added. */
+  std::map<QueueId, std::unordered_set<JobId>> m_pending;
   /** From the newest known configuration. */
   std::map<QueueId, QueueService> m_queueServices;
   Millicores m_shortDemand;  ///< Cores that short tasks hold or wait for.
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -290,9 +290,8 @@
     DropFromQueue(aCell, job);
     aCell.m_moving.insert(id);
   }
-  if (job.m_spec.m_maxRuns == 0) {
-    if (!job.m_anyStarted) ++aCell.m_pending[job.m_spec.m_queue];
-  } else if (job.m_nextOccurrence < job.m_spec.m_maxRuns) {
+  UpdatePending(aCell, job);
+  if (job.m_nextOccurrence < job.m_spec.m_maxRuns) {
     aCell.m_scheduled.emplace(
         UnixMillis(job.m_spec.m_startTime.Value() +
                    job.m_spec.m_intervalMs *
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -111,9 +111,9 @@
   job.m_spec.m_acceptedAt = aUnixNow;
   IndexSteps(aCell, job);
   MarkChanged(aCell, job);
+  UpdatePending(aCell, job);
   ++aCell.m_counts.m_accepted;
   if (job.m_spec.m_maxRuns == 0) {
-    ++aCell.m_pending[job.m_spec.m_queue];
     BeginOccurrence(aCell, job, 0, aNow);
   } else {
     aCell.m_scheduled.emplace(job.m_spec.m_startTime, id);
@@ -159,7 +159,9 @@
 
 uint32_t PendingJobs(const Cell& aCell, const QueueId& aQueue) {
   const auto found = aCell.m_pending.find(aQueue);
-  return found == aCell.m_pending.end() ? 0 : found->second;
+  return found == aCell.m_pending.end()
+             ? 0
+             : static_cast<uint32_t>(found->second.size());
 }
 
 std::vector<JobId> WithdrawUnstored(Cell& aCell, const std::set<JobId>& aKept) {
@@ -241,6 +243,7 @@
       aCell.m_ended.emplace(aNow, id);
       continue;
     }
+    RemoveFromPending(aCell, found->second);
     aCell.m_dirty.erase(id);
     aCell.m_removed.push_back(id);
     aCell.m_jobs.erase(found);
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -298,11 +298,8 @@
   task.m_phaseSince = aNow;
   task.m_progressAt = aNow;
   Job& job = *aPlace.m_job;
-  if (job.m_anyStarted) return;
   job.m_anyStarted = true;
-  if (job.m_spec.m_maxRuns != 0) return;
-  auto& pending = aCell.m_pending[job.m_spec.m_queue];
-  if (pending > 0) --pending;
+  UpdatePending(aCell, job);
 }
 
 void ApplyReport(Cell& aCell, RunnerIndex aRunner, const RunnerReport& aReport,
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -302,11 +302,8 @@
 
 void EndJob(Cell& aCell, Job& aJob, JobPhase aPhase, TimePoint aNow) {
   if (aJob.m_phase != JobPhase::Active) return;
-  if (!aJob.m_anyStarted && aJob.m_spec.m_maxRuns == 0) {
-    auto& pending = aCell.m_pending[aJob.m_spec.m_queue];
-    if (pending > 0) --pending;
-  }
   aJob.m_phase = aPhase;
+  UpdatePending(aCell, aJob);
   aJob.m_endedAt = aNow;
   aCell.m_ended.emplace(aNow, aJob.m_spec.m_id);
   ForgetAdvice(aCell, aJob.m_spec.m_id);
@@ -334,6 +331,21 @@
   }
 }
 
+void UpdatePending(Cell& aCell, const Job& aJob) {
+  const bool isPending = aJob.m_phase == JobPhase::Active &&
+                         aJob.m_spec.m_maxRuns == 0 && !aJob.m_anyStarted;
+  if (isPending) {
+    aCell.m_pending[aJob.m_spec.m_queue].insert(aJob.m_spec.m_id);
+  } else {
+    RemoveFromPending(aCell, aJob);
+  }
+}
+
+void RemoveFromPending(Cell& aCell, const Job& aJob) {
+  const auto found = aCell.m_pending.find(aJob.m_spec.m_queue);
+  if (found != aCell.m_pending.end()) found->second.erase(aJob.m_spec.m_id);
+}
+
 void ForgetJob(Cell& aCell, Job& aJob) {
   const JobId id = aJob.m_spec.m_id;
   DropFromQueue(aCell, aJob);
@@ -348,11 +360,7 @@
       }
     }
   }
-  if (aJob.m_spec.m_maxRuns == 0 && aJob.m_phase == JobPhase::Active &&
-      !aJob.m_anyStarted) {
-    auto& pending = aCell.m_pending[aJob.m_spec.m_queue];
-    if (pending > 0) --pending;
-  }
+  RemoveFromPending(aCell, aJob);
   aCell.m_scheduled.erase({aJob.m_spec.m_startTime, id});
   if (aJob.m_phase != JobPhase::Active) {
     aCell.m_ended.erase({aJob.m_endedAt, id});
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -46,6 +46,13 @@
 /** Removes all steps of the job from the queue. */
 void DropFromQueue(Cell& aCell, const Job& aJob);
 
+/** Adds the job to Cell::m_pending or removes it, as its state requires. Must
+ *  follow each change of m_phase and m_anyStarted. */
+void UpdatePending(Cell& aCell, const Job& aJob);
+
+/** Must precede the removal of the job from Cell::m_jobs. */
+void RemoveFromPending(Cell& aCell, const Job& aJob);
+
 /** Removes the job and everything that the cell holds for it; its rows stay. */
 void ForgetJob(Cell& aCell, Job& aJob);
 
--- a/tests/core/sched/cell_simulation.cpp
+++ b/tests/core/sched/cell_simulation.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 
 #include "core/sched/lease_func.h"
+#include "pending_check.h"
 
 namespace bronze::sched {
 
@@ -244,6 +245,9 @@
   SendOrders(aOwner);
   SendRenewals(aOwner);
   StartCommit(aOwner);
+  if (!PendingCountIsExact(aOwner->m_cell)) {
+    ReportViolation("the number of pending jobs differs from their states");
+  }
 }
 
 void CellSimulation::Deliver(const OwnerPtr& aOwner,
--- a/tests/core/sched/move_property_test.cpp
+++ b/tests/core/sched/move_property_test.cpp
@@ -19,6 +19,7 @@
 #include "core/sched/job_cmd.h"
 #include "core/sched/move_cmd.h"
 #include "core/sched/route_cmd.h"
+#include "pending_check.h"
 
 namespace bronze::sched {
 
@@ -256,6 +257,10 @@
   void CheckOneOwner() {
     std::map<JobId, int> placeable;
     for (const SimulatedCell& cell : m_cells) {
+      if (!PendingCountIsExact(cell.m_cell)) {
+        m_violations.push_back(
+            "the number of pending jobs differs from their states");
+      }
       for (const auto& [id, job] : cell.m_cell.m_jobs) {
         const bool queued = std::any_of(
             cell.m_cell.m_queue.begin(), cell.m_cell.m_queue.end(),
