net: a server that closes a new connection is not reported as a mismatch

Cause: the look for bytes before the first call on a connection did not tell bytes from the end of the connection (IsStale is true for both). A server that accepts and closes, or a call cancelled while its connection was made, counted in bronze_replies_mismatched_total and was logged as a reply before the call.

Ruled out: a wrong stage; the call ends as not connected before and after this change, which is true as no byte was sent.

Change: PeekError tells the two apart; the end of the connection is an error of the call like any other.

Measured: ClosedConnectionIsNoMismatch fails before (1 mismatch instead of 0) and passes now; http_client_test, repeated_answer_test and reply_wholeness_test pass.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -129,16 +129,22 @@
   return CallNumber(number);
 }
 
+/** @return would_block if the server has neither sent bytes nor closed the
+ *          connection; no error if it has sent some. */
+beast::error_code PeekError(tcp::socket& aSocket) {
+  beast::error_code error;
+  aSocket.non_blocking(true, error);
+  char byte = 0;
+  aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error;
+}
+
 /**
  * Whether the server has closed an idle connection or has sent unexpected bytes
  * on it.
  */
 bool IsStale(tcp::socket& aSocket) {
-  beast::error_code error;
-  aSocket.non_blocking(true, error);
-  char byte = 0;
-  aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error != asio::error::would_block;
+  return PeekError(aSocket) != asio::error::would_block;
 }
 
 template <class PoolState>
@@ -268,11 +274,14 @@
           }
           beast::error_code ignored;
           self->Stream().socket().set_option(tcp::no_delay(true), ignored);
-          if (IsStale(self->Stream().socket())) {
+          const beast::error_code found = PeekError(self->Stream().socket());
+          if (!found) {
             self->Drop("the server sent a reply before the call");
-            return;
+          } else if (found != asio::error::would_block) {
+            self->Fail(found);
+          } else {
+            self->Send();
           }
-          self->Send();
         });
   }
 
--- a/tests/net/reply_wholeness_test.cpp
+++ b/tests/net/reply_wholeness_test.cpp
@@ -262,6 +262,22 @@
              0U);
 }
 
+/** Guards against a server that closes each new connection and is reported as
+ *  one that sends replies to other calls. */
+BOOST_AUTO_TEST_CASE(ClosedConnectionIsNoMismatch) {
+  ScriptedServer server(m_context);
+  CallOutcome outcome;
+  m_client.Call(server.Address(), {"GET", "/", {}, {}, {}}, kTimeout,
+                [&](CallOutcome aOutcome) {
+                  outcome = std::move(aOutcome);
+                  m_context.stop();
+                });
+  server.AcceptNow()->Close();
+  Run();
+  BOOST_TEST((outcome.m_stage == CallStage::NotConnected));
+  BOOST_TEST(m_client.MismatchedReplies() == 0U);
+}
+
 /** Guards against the repetition of a reply that arrives while the next call is
  *  being sent and is taken for the reply to it. */
 BOOST_AUTO_TEST_CASE(RepetitionArrivesWhileACallIsSent) {
