net: close a connection that is not kept when its call ends

Cause: a connection that did not return to the pool stayed open until its call object was destroyed. A caller that keeps the object (HttpExchange) after the end held the connection open at the server, and since replies without a mark end theirs, this happens with each call to such a server.

Ruled out: a leak without such a caller; the object closes the connection when it is destroyed.

Change: ReturnToPool closes the connection if it does not keep it.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -420,6 +420,8 @@
     auto& idle = address.m_idle;
     if (!aKeepAlive || m_buffer.size() > 0 ||
         idle.size() >= m_pool->m_limits.m_idlePerAddress) {
+      // The caller may keep this object for long after the call.
+      Stream().close();
       return;
     }
     Stream().expires_never();
--- a/tests/net/reply_wholeness_test.cpp
+++ b/tests/net/reply_wholeness_test.cpp
@@ -435,6 +435,29 @@
   BOOST_TEST(m_server.m_accepted == 3U);
 }
 
+/** Guards against connections that stay open at the server for as long as the
+ *  caller keeps the ended call. */
+BOOST_AUTO_TEST_CASE(ConnectionThatIsNotKeptIsClosed) {
+  m_server.m_onCall = [](const PeerPointer& aPeer, const ReadCall& aCall) {
+    aPeer->Send(aCall.Reply(""));
+  };
+  bool isAnswered = false;
+  bool isClosed = false;
+  asio::steady_timer limit(m_context, kTimeout);
+  limit.async_wait([&](boost::system::error_code aError) {
+    if (!aError) m_context.stop();
+  });
+  m_server.m_onClosed = [&] {
+    isClosed = true;
+    m_context.stop();
+  };
+  const auto exchange =
+      Begin(m_client, "/", [&](const CallOutcome&) { isAnswered = true; });
+  Run();
+  BOOST_TEST(isAnswered);
+  BOOST_TEST(isClosed);
+}
+
 /** Guards against a cut repetition and the true reply that are read as one
  *  whole reply. */
 BOOST_AUTO_TEST_CASE(HeadThatHoldsAnotherIsNone) {
