net: the outcome of a call holds no reply to another

Cause: TakeReply put each reply into the outcome before it was matched, and a dropped one stayed there. The outcome then had the status, the headers and the body of another call's reply, though not the stage CompleteReply.

Ruled out: a conclusion drawn from it at present; all clients look at the stage first. RunnerGateway copies the reply whatever the stage, but passes it on only with the stage CompleteReply.

Change: a dropped reply is removed from the outcome, and its clock from the origin that is logged.

Measured: DroppedReplyIsNotPassedOn fails before (4 checks) and passes now; the other net tests pass.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -355,7 +355,7 @@
     switch (MatchReply(m_connection->m_history, m_number, mark)) {
       case ReplyMatch::Repeated:
         // It was made for an earlier call; the one to this call follows.
-        ++m_pool->m_mismatched;
+        ForgetReply();
         ReadOn();
         return;
       case ReplyMatch::Unmarked:
@@ -402,10 +402,17 @@
     Read();
   }
 
+  /** The reply was made for another call, or for none. */
+  void ForgetReply() {
+    ++m_pool->m_mismatched;
+    m_outcome.m_reply = {};
+    m_outcome.m_origin.m_clock.reset();
+  }
+
   /** The reply counts for no call, and neither does any later one on this
    *  connection. */
   void Drop(std::string aError) {
-    ++m_pool->m_mismatched;
+    ForgetReply();
     if (m_outcome.m_stage != CallStage::NotConnected) {
       m_outcome.m_stage = CallStage::PartlyRead;
     }
--- a/tests/net/reply_wholeness_test.cpp
+++ b/tests/net/reply_wholeness_test.cpp
@@ -458,6 +458,38 @@
   BOOST_TEST(isClosed);
 }
 
+/** Guards against the reply to another call in the outcome of one that got
+ *  none. */
+BOOST_AUTO_TEST_CASE(DroppedReplyIsNotPassedOn) {
+  std::string first;
+  std::function<void(const PeerPointer&, const ReadCall&)> answerSecond;
+  m_server.m_onCall = [&](const PeerPointer& aPeer, const ReadCall& aCall) {
+    if (aPeer->m_calls > 1) {
+      answerSecond(aPeer, aCall);
+      return;
+    }
+    first = aCall.Reply();
+    aPeer->Send(first);
+  };
+  const auto checkSecond = [&] {
+    BOOST_TEST(IsReplyTo(Call(m_client, "/first"), "/first"));
+    const CallOutcome second = Call(m_client, "/second");
+    BOOST_TEST(second.m_reused);
+    BOOST_TEST((second.m_stage != CallStage::CompleteReply));
+    BOOST_TEST(second.m_reply.m_body.empty());
+    BOOST_TEST(second.m_reply.m_headers.empty());
+  };
+  answerSecond = [&](const PeerPointer& aPeer, const ReadCall&) {
+    aPeer->Send(first);
+    aPeer->Close();
+  };
+  checkSecond();
+  answerSecond = [](const PeerPointer& aPeer, const ReadCall& aCall) {
+    aPeer->Send(aCall.Reply(""));
+  };
+  checkSecond();
+}
+
 /** Guards against a cut repetition and the true reply that are read as one
  *  whole reply. */
 BOOST_AUTO_TEST_CASE(HeadThatHoldsAnotherIsNone) {
