tableservice: only a status that says so means that a commit was not written

Cause: each status but 200 and 409 counted as Unavailable, after which nothing of the commit is in doubt. A 500, 502 or 504 may come from a service that has written, or that writes later, and the next attempt is built anew with other changes.

Ruled out: a loop without a pause; after ReplyLost the lease row is read and BackOff follows if the attempt has not taken effect.

Change: 400, 403, 404, 429, 503 and 507 mean that nothing was written, as in the client of the row store; each other status leaves the outcome open (ReplyLost).

--- a/src/tableservice/table_client.cpp
+++ b/src/tableservice/table_client.cpp
@@ -22,6 +22,21 @@
   return boost::urls::encode(aText, boost::urls::unreserved_chars);
 }
 
+/** Whether the status says that a commit was refused and nothing written. */
+bool IsRefusal(int aStatus) {
+  switch (aStatus) {
+    case 400:
+    case 403:
+    case 404:
+    case 429:
+    case 503:
+    case 507:
+      return true;
+    default:
+      return false;
+  }
+}
+
 CommitReply ToReply(const CallOutcome& aOutcome) {
   CommitReply reply;
   if (aOutcome.m_stage == CallStage::NotConnected) {
@@ -30,10 +45,8 @@
   }
   if (aOutcome.m_stage != CallStage::CompleteReply) return reply;
   const int status = aOutcome.m_reply.m_status;
-  if (status != kStatusOk && status != kStatusConflict) {
-    reply.m_outcome = CommitOutcome::Unavailable;
-    return reply;
-  }
+  if (IsRefusal(status)) reply.m_outcome = CommitOutcome::Unavailable;
+  if (status != kStatusOk && status != kStatusConflict) return reply;
   auto result = DecodeCommitResult(aOutcome.m_reply.m_body);
   if (!result) return reply;
   TableCommitResult& committed = result.value();
