tableservice: a commit reply that contradicts its status decides nothing

Cause: only the body was read after 200 and 409, so that a 409 with the body of a commit counted as committed, and a 200 with conflicts as not written.

Ruled out: such replies of the stand-in; its status and body agree.

Change: the outcome stays open (ReplyLost) if the two contradict each other.

Measured: StatusAndBodyMustAgree fails before (2 checks) and passes now.

--- a/src/tableservice/table_client.cpp
+++ b/src/tableservice/table_client.cpp
@@ -48,7 +48,9 @@
   if (IsRefusal(status)) reply.m_outcome = CommitOutcome::Unavailable;
   if (status != kStatusOk && status != kStatusConflict) return reply;
   auto result = DecodeCommitResult(aOutcome.m_reply.m_body);
-  if (!result) return reply;
+  if (!result || result.value().m_committed != (status == kStatusOk)) {
+    return reply;
+  }
   TableCommitResult& committed = result.value();
   reply.m_outcome = committed.m_committed ? CommitOutcome::Committed
                                           : CommitOutcome::Conflict;
--- a/tests/tableservice/table_client_test.cpp
+++ b/tests/tableservice/table_client_test.cpp
@@ -91,6 +91,12 @@
   }
 }
 
+/** Guards against a reply whose status and body contradict each other. */
+BOOST_AUTO_TEST_CASE(StatusAndBodyMustAgree) {
+  BOOST_TEST((Commit(200, kConflict) == CommitOutcome::ReplyLost));
+  BOOST_TEST((Commit(409, kCommitted) == CommitOutcome::ReplyLost));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
