--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -129,16 +129,22 @@
   return CallNumber(number);
 }
 
+/** @return would_block if the server has neither sent bytes nor closed the
+ *          connection; no error if it has sent some. */
+beast::error_code PeekError(tcp::socket& aSocket) {
+  beast::error_code error;
+  aSocket.non_blocking(true, error);
+  char byte = 0;
+  aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error;
+}
+
 /**
  * Whether the server has closed an idle connection or has sent unexpected bytes
  * on it.
  */
 bool IsStale(tcp::socket& aSocket) {
-  beast::error_code error;
-  aSocket.non_blocking(true, error);
-  char byte = 0;
-  aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error != asio::error::would_block;
+  return PeekError(aSocket) != asio::error::would_block;
 }
 
 template <class PoolState>
@@ -268,11 +274,14 @@
           }
           beast::error_code ignored;
           self->Stream().socket().set_option(tcp::no_delay(true), ignored);
-          if (IsStale(self->Stream().socket())) {
+          const beast::error_code found = PeekError(self->Stream().socket());
+          if (!found) {
             self->Drop("the server sent a reply before the call");
-            return;
+          } else if (found != asio::error::would_block) {
+            self->Fail(found);
+          } else {
+            self->Send();
           }
-          self->Send();
         });
   }
 
@@ -347,7 +356,7 @@
     switch (MatchReply(m_connection->m_history, m_number, mark)) {
       case ReplyMatch::Repeated:
         // It was made for an earlier call; the one to this call follows.
-        ++m_pool->m_mismatched;
+        ForgetReply();
         ReadOn();
         return;
       case ReplyMatch::TooEarly:
@@ -395,10 +404,17 @@
     Read();
   }
 
+  /** The reply was made for another call, or for none. */
+  void ForgetReply() {
+    ++m_pool->m_mismatched;
+    m_outcome.m_reply = {};
+    m_outcome.m_origin.m_clock.reset();
+  }
+
   /** The reply counts for no call, and neither does any later one on this
    *  connection. */
   void Drop(std::string aError) {
-    ++m_pool->m_mismatched;
+    ForgetReply();
     if (m_outcome.m_stage != CallStage::NotConnected) {
       m_outcome.m_stage = CallStage::PartlyRead;
     }
@@ -413,6 +429,8 @@
     auto& idle = address.m_idle;
     if (!aKeepAlive || m_buffer.size() > 0 ||
         idle.size() >= m_pool->m_limits.m_idlePerAddress) {
+      // The caller may keep this object for long after the call.
+      Stream().close();
       return;
     }
     Stream().expires_never();
