sched, platform: what is gone or refused is concluded on new connections only

The clock tells a copy apart, but not a new answer to an old call.

Cause: conclusions that stand for good were drawn on connections that had carried other calls. A report from before a start, read as a newer one, lacks its run, which then started elsewhere; a refusal of one start could be read as that of the next.

Change: a report on a kept connection shows what it lists, and its gaps show nothing: a run that is missing there is asked for again on a new connection, and only that report counts. The first report to a new owner, answers to stops, and transactions of the store use new connections. A refusal of a start or of a renewal on a kept connection leaves its outcome open, and a connection is not used again after a refusal. A row before the begin of the range that was read is foreign, and rows of an answer that cannot be read are dropped.

--- a/src/core/sched/runner_cmd.h
+++ b/src/core/sched/runner_cmd.h
@@ -22,6 +22,8 @@
   FencingToken m_fence;
   EndNumber m_lastSeen;
   Duration m_wait{};
+  /** To be sent on a new connection (RunnerReport::m_onKeptConnection). */
+  bool m_newConnection = false;
 };
 
 /** Outcome of an order to a runner. */
--- a/src/core/sched/runner_renewal_cmd.cpp
+++ b/src/core/sched/runner_renewal_cmd.cpp
@@ -147,10 +147,12 @@
       order.m_wait =
           std::min(order.m_wait, aCell.m_settings.m_monitoredRenewalWait);
     }
-    if (needsListSoon || !hasRuns || runner.m_missedRenewals > 0) {
+    if (needsListSoon || !hasRuns || runner.m_missedRenewals > 0 ||
+        runner.m_wantsCertainReport) {
       order.m_wait = Duration::zero();
     }
   }
+  order.m_newConnection = runner.m_wantsCertainReport || !runner.m_contacted;
   runner.m_renewalPending = true;
   runner.m_renewalOrderedAt = aNow;
   return order;
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -245,6 +245,10 @@
     if (place.m_task == nullptr) continue;
     if (!AbsenceCounts(*place.m_task, aSentAt)) continue;
     if (IsListed(aReport, key, place.m_task->m_run)) continue;
+    if (aReport.m_onKeptConnection) {
+      aRunner.m_wantsCertainReport = true;
+      return;
+    }
     LogDecision(aCell, fmt::format("run missing from report task={} run={} "
                                    "runner={} clock_ms={}",
                                    TaskText(key), place.m_task->m_run.Value(),
@@ -261,6 +265,13 @@
     return aRun.m_decidedAt && *aRun.m_decidedAt <= aSentAt &&
            !IsListed(aReport, aRun.m_task, aRun.m_run);
   };
+  if (aReport.m_onKeptConnection) {
+    aRunner.m_wantsCertainReport =
+        aRunner.m_wantsCertainReport ||
+        std::any_of(aRunner.m_supersededRuns.begin(),
+                    aRunner.m_supersededRuns.end(), ended);
+    return;
+  }
   if (std::erase_if(aRunner.m_supersededRuns, ended) > 0) {
     aCell.m_capacityChanged = true;
   }
@@ -346,7 +357,7 @@
       runner.m_lapsesAt =
           std::max(runner.m_lapsesAt,
                    aNow + LeaseUpperBound(aCell.m_settings.m_leaseCap));
-    } else if (aReport.m_running.empty()) {
+    } else if (aReport.m_running.empty() && !aReport.m_onKeptConnection) {
       runner.m_lapsesAt = aNow;
     }
     if (!runner.m_tasks.empty()) OrderDeadline(aCell, runner, aNow);
@@ -362,6 +373,7 @@
   for (const RunningRow& row : aReport.m_running) {
     ApplyRunning(aCell, aRunner, row, aNow);
   }
+  runner.m_wantsCertainReport = false;
   RequeueAbsent(aCell, runner, aReport, aSentAt, aNow);
   DropEndedSupersededRuns(aCell, runner, aReport, aSentAt);
   StopStalled(aCell, runner, aNow);
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -70,6 +70,11 @@
    * in neither list left no end, and counts as lost; else its end may follow.
    */
   bool m_allEndsListed = false;
+  /** Its connection had carried an answer before. Then it may have been made
+   * for an earlier renewal: what it lists is true, but what it lacks shows
+   * nothing.
+   */
+  bool m_onKeptConnection = false;
 };
 
 /** A reported end that is acknowledged once that version of its job is
@@ -130,6 +135,9 @@
   TimePoint m_renewalOrderedAt;   ///< When the last renewal was ordered.
   uint32_t m_missedRenewals = 0;  ///< Consecutive renewals without an answer.
   bool m_refused = false;         ///< The last connection was refused.
+  /** The last report lacks a run. The next renewal uses a new connection, so
+   *  that its report shows whether the run has ended. */
+  bool m_wantsCertainReport = false;
 
   EndNumber m_readEnd;    ///< Highest end that was processed.
   EndNumber m_storedEnd;  ///< Highest end that is durable.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -198,7 +198,7 @@
     m_begun = true;
     m_waitTimer.reset();
     ++m_pool->m_addresses[m_address].m_busy;
-    TakeIdle();
+    if (!m_options.m_newConnection) TakeIdle();
     const Duration rest =
         m_connection ? NextCallAt(m_connection->m_history) - SteadyNow()
                      : Duration::zero();
@@ -368,7 +368,7 @@
     }
     m_outcome.m_stage = CallStage::CompleteReply;
     const bool isMarked = NoteReply(m_connection->m_history, mark, SteadyNow());
-    ReturnToPool(keepAlive && isMarked);
+    ReturnToPool(keepAlive && isMarked && IsSuccess());
     Finish();
   }
 
@@ -398,6 +398,12 @@
     return mark;
   }
 
+  /** The connection of a refusal is not used again: if the server sent that
+   *  twice, it would stand for the refusal of another call. */
+  [[nodiscard]] bool IsSuccess() const {
+    return m_outcome.m_reply.m_status / 100 == 2;
+  }
+
   /** Reads the next reply on the connection. */
   void ReadOn() {
     m_outcome.m_stage = CallStage::Sent;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -4,7 +4,9 @@
  * A reply counts only for the call that it was made for (reply_match_func.h):
  * the server copies the number of the call into the reply, or the reply tells
  * the time on the server's clock. A connection to a server that does neither
- * carries one call.
+ * carries one call. The clock shows a second reply only if that is the same as
+ * the first; a call whose reply decides something for good, whatever the server
+ * sends, asks for a new connection.
  */
 
 #ifndef BRONZE_NET_HTTP_CLIENT_H_
@@ -62,6 +64,9 @@
   /** Asked right before the call is sent, which may be some time after it was
    *  made. If it returns false, nothing is sent. */
   std::function<bool()> m_mayBegin;
+  /** No other call went before it on its connection, so that the reply is its
+   *  own also if the server makes second replies anew. */
+  bool m_newConnection = false;
 };
 
 /** A call in progress. */
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -30,7 +30,10 @@
 
 /** Lease renewals, stops and paces go before starts: they protect work that is
  *  running. */
-const CallOptions kUrgent{true, {}};
+const CallOptions kUrgent{true, {}, false};
+/** The answer to a stop and a report that lacks a run decide whether the task
+ *  is started elsewhere. */
+const CallOptions kUrgentAndCertain{true, {}, true};
 
 std::optional<sched::RunnerMillis> ClockOf(const CallOutcome& aOutcome) {
   const auto clock = aOutcome.m_origin.m_clock;
@@ -73,6 +76,29 @@
   return OrderOutcome::RefusedOther;
 }
 
+/** On a kept connection, a refusal may be that of an earlier order, so that
+ *  this one may have been carried out. */
+OrderOutcome CertainOutcomeOf(const CallOutcome& aOutcome) {
+  const OrderOutcome outcome = OutcomeOf(aOutcome);
+  if (aOutcome.m_origin.m_earlierReplies == 0) return outcome;
+  switch (outcome) {
+    case OrderOutcome::RefusedOld:
+    case OrderOutcome::RefusedLate:
+    case OrderOutcome::RefusedRoom:
+    case OrderOutcome::RefusedTicket:
+    case OrderOutcome::RefusedOther:
+    case OrderOutcome::WrongInstance:
+      return OrderOutcome::Unknown;
+    case OrderOutcome::RefusedFence:
+      // The owner gives up the cell, which is safe.
+    case OrderOutcome::Applied:
+    case OrderOutcome::NotSent:
+    case OrderOutcome::Unknown:
+      return outcome;
+  }
+  return outcome;
+}
+
 std::string ErrorOf(const CallOutcome& aOutcome) {
   if (aOutcome.m_stage == CallStage::CompleteReply) {
     return std::to_string(aOutcome.m_reply.m_status);
@@ -129,10 +155,10 @@
   if (!aOrder.m_ticket.empty()) body["ticket"] = aOrder.m_ticket;
   Post(aTarget, "/bronzeworks/run-start", json::serialize(body), kOrderTimeout,
        [handler = std::move(aHandler)](CallOutcome aOutcome) {
-         handler({OutcomeOf(aOutcome), ClockOf(aOutcome), ErrorOf(aOutcome),
-                  aOutcome.m_origin});
+         handler({CertainOutcomeOf(aOutcome), ClockOf(aOutcome),
+                  ErrorOf(aOutcome), aOutcome.m_origin});
        },
-       {false, std::move(aMayBegin)});
+       {false, std::move(aMayBegin), false});
 }
 
 void RunnerClient::Stop(const RunnerTarget& aTarget,
@@ -142,7 +168,7 @@
                           {"run", aOrder.m_run.Value()},
                           {"fence", aTarget.m_fence.Value()}};
   Post(aTarget, "/bronzeworks/run-stop", json::serialize(body), kOrderTimeout,
-       OrderHandler(std::move(aHandler)), kUrgent);
+       OrderHandler(std::move(aHandler)), kUrgentAndCertain);
 }
 
 void RunnerClient::Pace(const RunnerTarget& aTarget,
@@ -171,13 +197,15 @@
       json::serialize(body), aOrder.m_wait + kRenewalMargin,
       [handler = std::move(aHandler)](CallOutcome aOutcome) {
         RenewalAnswer answer;
-        answer.m_outcome = OutcomeOf(aOutcome);
+        answer.m_outcome = CertainOutcomeOf(aOutcome);
         answer.m_error = ErrorOf(aOutcome);
         answer.m_origin = aOutcome.m_origin;
         if (answer.m_outcome == OrderOutcome::Applied) {
           auto report = DecodeRunnerReport(aOutcome.m_reply.m_body);
           if (report) {
             answer.m_report = std::move(report.value());
+            answer.m_report.m_onKeptConnection =
+                answer.m_origin.m_earlierReplies > 0;
           } else {
             answer.m_outcome = OrderOutcome::Unknown;
             answer.m_error = report.error().m_message;
@@ -185,7 +213,7 @@
         }
         handler(std::move(answer));
       },
-      kUrgent);
+      aOrder.m_newConnection ? kUrgentAndCertain : kUrgent);
 }
 
 }  // namespace bronze
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -143,6 +143,7 @@
   // Every answer about rows tells the store's clock.
   if (reader.Failed() || !result.m_storeTime) {
     result.m_outcome = StoreOutcome::Malformed;
+    result.m_rows.clear();
   }
   return result;
 }
@@ -194,17 +195,19 @@
   m_reading = ClockReading{*aResult.m_storeTime, aAskedAt, now};
 }
 
-void StoreClient::Call(HttpCall aCall, Duration aTimeout,
+void StoreClient::Call(HttpCall aCall, Duration aTimeout, CallOptions aOptions,
                        std::function<void(CallOutcome)> aHandler) {
   ++m_calls;
-  m_client.Call(m_address, aCall, aTimeout,
-                [this, handler = std::move(aHandler)](CallOutcome aOutcome) {
-                  if (aOutcome.m_stage != CallStage::CompleteReply ||
-                      aOutcome.m_reply.m_status >= 429) {
-                    ++m_failures;
-                  }
-                  handler(std::move(aOutcome));
-                });
+  m_client.Call(
+      m_address, aCall, aTimeout,
+      [this, handler = std::move(aHandler)](CallOutcome aOutcome) {
+        if (aOutcome.m_stage != CallStage::CompleteReply ||
+            aOutcome.m_reply.m_status >= 429) {
+          ++m_failures;
+        }
+        handler(std::move(aOutcome));
+      },
+      std::move(aOptions));
 }
 
 void StoreClient::Transact(const StoreTransaction& aTransaction,
@@ -215,7 +218,9 @@
   call.m_target = "/bronzeworks/rows-tx";
   call.m_headers = {{"Content-Type", "application/json"}};
   call.m_body = TransactionBody(aTransaction);
-  Call(std::move(call), aTimeout,
+  // Whether something was written must not depend on what the store does with
+  // the answers to other calls.
+  Call(std::move(call), aTimeout, {false, {}, true},
        [this, askedAt = m_clock(), newest = NewestExpected(aTransaction),
         handler = std::move(aHandler)](CallOutcome aOutcome) {
          RowsResult rows = DecodeRows(aOutcome, false);
@@ -236,14 +241,17 @@
   HttpCall call;
   call.m_method = "GET";
   call.m_target = std::move(aTarget);
-  Call(std::move(call), aTimeout,
+  Call(std::move(call), aTimeout, {},
        [this, askedAt = m_clock(), belongs = std::move(aBelongs),
         handler = std::move(aHandler)](CallOutcome aOutcome) {
          RowsResult rows = DecodeRows(aOutcome, true);
          const bool isForeign = !std::all_of(
              rows.m_rows.begin(), rows.m_rows.end(),
              [&](const StoreRow& aRow) { return belongs(aRow.m_key); });
-         if (isForeign) rows.m_outcome = StoreOutcome::Malformed;
+         if (isForeign) {
+           rows.m_outcome = StoreOutcome::Malformed;
+           rows.m_rows.clear();
+         }
          UpdateClockReading(rows, askedAt);
          handler(std::move(rows));
        });
@@ -257,8 +265,9 @@
   if (!aFrom.empty()) target += "&from=" + QueryText(aFrom);
   ReadRows(
       std::move(target), aTimeout,
-      [aTable, aPart](const RowKey& aKey) {
-        return aKey.m_table == aTable && aKey.m_part == aPart;
+      [aTable, aPart, aFrom](const RowKey& aKey) {
+        return aKey.m_table == aTable && aKey.m_part == aPart &&
+               aKey.m_key >= aFrom;
       },
       std::move(aHandler));
 }
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -115,7 +115,7 @@
   }
 
  private:
-  void Call(HttpCall aCall, Duration aTimeout,
+  void Call(HttpCall aCall, Duration aTimeout, CallOptions aOptions,
             std::function<void(CallOutcome)> aHandler);
   /** @param aBelongs whether a row with that key can be in the answer. */
   void ReadRows(std::string aTarget, Duration aTimeout,
--- a/tests/net/repeating_proxy.cpp
+++ b/tests/net/repeating_proxy.cpp
@@ -8,6 +8,7 @@
 
 #include "repeating_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/post.hpp>
@@ -56,6 +57,23 @@
 
 namespace {
 
+/** @return the answer with a clock that is aDelay later, or one that differs at
+ *          least. */
+std::string MadeAnew(std::string aAnswer, Duration aDelay) {
+  for (const std::string name : {"\"clock_ms\":", "\"now_ms\":"}) {
+    const size_t found = aAnswer.find(name);
+    if (found == std::string::npos) continue;
+    const size_t begin = found + name.size();
+    const size_t end = aAnswer.find_first_not_of("0123456789", begin);
+    const int64_t clock = std::stoll(aAnswer.substr(begin, end - begin));
+    const std::string text = std::to_string(
+        clock + 1 + std::chrono::duration_cast<milliseconds>(aDelay).count());
+    // Content-Length stays as it is.
+    if (text.size() == end - begin) aAnswer.replace(begin, end - begin, text);
+  }
+  return aAnswer;
+}
+
 /** One connection from a client, and one to the server. */
 template <class ProxyState>
 class Relay : public std::enable_shared_from_this<Relay<ProxyState>> {
@@ -117,16 +135,19 @@
   void MaybeRepeat(const std::string& aAnswer) {
     const auto delay = m_state->ChooseDelay(aAnswer);
     if (!delay) return;
-    size_t bytes = 0;
+    std::string second = aAnswer;
     {
       const std::lock_guard<std::mutex> lock(m_state->m_mutex);
-      bytes = m_state->m_repetition.m_bytes;
+      if (m_state->m_repetition.m_madeAnew) {
+        second = MadeAnew(std::move(second), *delay);
+      }
+      second.resize(std::min(second.size(), m_state->m_repetition.m_bytes));
     }
     auto timer =
         std::make_shared<asio::steady_timer>(m_state->m_context, *delay);
     timer->async_wait([self = this->shared_from_this(), timer,
-                       answer = aAnswer.substr(0, bytes)](auto aError) {
-      if (!aError) self->Send(answer);
+                       second = std::move(second)](auto aError) {
+      if (!aError) self->Send(second);
     });
   }
 
--- a/tests/net/repeating_proxy.h
+++ b/tests/net/repeating_proxy.h
@@ -25,6 +25,9 @@
   size_t m_bytes = SIZE_MAX;  ///< The second answer is cut after these.
   /** Gets the bytes of an answer; empty: accepts all. */
   std::function<bool(std::string_view aAnswer)> m_applies;
+  /** The second answer is made anew: it tells a later time on the server's
+   *  clock. The rest of it stays. */
+  bool m_madeAnew = false;
 };
 
 /** All members may be used on any thread. A connection is served by the thread
--- a/tests/scheduler/repeated_answers_test.cpp
+++ b/tests/scheduler/repeated_answers_test.cpp
@@ -102,6 +102,24 @@
   BOOST_TEST(TasksRunTwice().empty());
 }
 
+/** Guards against the same where the second answer tells a later time on the
+ *  runner's clock, so that the clock does not tell it apart. */
+BOOST_AUTO_TEST_CASE(RunnersThatAnswerAnewRunNoTaskTwice) {
+  RunningNode& node = AddNode("n1");
+  for (const auto& proxy : m_runnerProxies) {
+    proxy->SetRepetition(
+        {0.25, Duration(0), kLongestDelay, SIZE_MAX, {}, true});
+  }
+  for (int job = 0; job < kJobs; ++job) {
+    BOOST_REQUIRE(SubmitUntilAccepted(node, JobName(job)));
+  }
+  for (int job = 0; job < kJobs; ++job) {
+    BOOST_TEST(BecomesCompleted(node, JobName(job)), JobName(job));
+  }
+  BOOST_TEST(RepeatedByRunners() > 0U);
+  BOOST_TEST(TasksRunTwice().empty());
+}
+
 /** Guards against a second answer that is cut, with the begin of the next one
  *  in its place. */
 BOOST_AUTO_TEST_CASE(RunnersThatRepeatAPartRunNoTaskTwice) {
