net: replies to HEAD have no body

What was seen: on a kept connection, the reply to the call after a HEAD could not be read ("bad version"): the body of the reply to HEAD was taken for its begin.

Cause: Session::Write sent the body whatever the method was.

Ruled out: closing the connection after a HEAD (health probes would open one connection each).

Change: the head of the reply is sent as before, with the Content-Length of the body, and the body is left out.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -165,6 +165,7 @@
   void RejectInput(beast::error_code aError) {
     m_keepAlive = false;
     m_callNumber.clear();
+    m_isHead = false;
     ErrorKind kind = ErrorKind::BadRequest;
     if (aError == http::error::header_limit) kind = ErrorKind::HeaderTooLarge;
     if (aError == http::error::body_limit) kind = ErrorKind::BodyTooLarge;
@@ -214,6 +215,8 @@
     // truncation.
     if (aReply.m_truncateAfter)
       m_response->body().resize(*aReply.m_truncateAfter);
+    // The client would read a body as the begin of the next reply.
+    if (m_isHead) m_response->body().clear();
     m_stream.expires_after(m_shared->m_limits.m_readTimeout);
     http::async_write(
         m_stream, *m_response,
@@ -279,6 +282,7 @@
   uint64_t m_call = 0;        ///< Number of the current call.
   std::string m_callNumber;   ///< Sent back; empty: the call has none.
   bool m_inProgress = false;  ///< The current call has no reply yet.
+  bool m_isHead = false;      ///< The current call's method is HEAD.
   bool m_keepAlive = true;
   bool m_unread = false;  ///< The current call was rejected before its end.
   bool m_watchingDisconnect = false;  ///< An async_wait is pending.
@@ -322,6 +326,7 @@
   m_parser.reset();
   m_keepAlive = message.keep_alive();
   m_callNumber = CallNumberOf(message);
+  m_isHead = message.method() == http::verb::head;
   m_stream.expires_never();
   HttpCall call;
   call.m_method = std::string(message.method_string());
