tests: refused starts leave their jobs pending when runners answer twice

No report takes this back and it is stored, so the number of pending jobs stays too low after a takeover.

Ruled out as a change: counting only runs that a report lists; 200 to a start means that the task has begun, and reports come up to 1.5 s later.

Change: the stand-in runner can refuse starts; a node test repeats half of the runners' answers meanwhile.

--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -345,6 +345,7 @@
   if (aCall.m_target == "/bronzeworks/run-start") {
     const std::string task = body.at("task");
     const uint64_t run = body.at("run");
+    if (m_faults.m_refusesStarts) return JsonReply(503, answer);
     if (run <= m_highestEnded[task]) {
       answer["reason"] = "old";
       return JsonReply(409, answer);
--- a/src/standin/row_store.h
+++ b/src/standin/row_store.h
@@ -35,6 +35,7 @@
 struct FakeRunnerFaults {
   bool m_losesStartAnswers = false;  ///< Carries out starts without an answer.
   bool m_failsTasks = false;         ///< Ends tasks as failed.
+  bool m_refusesStarts = false;      ///< Answers starts with 503.
 };
 
 /** One run of a task on a FakeRunner; times in ms of its clock. */
--- a/tests/scheduler/repeated_answers_test.cpp
+++ b/tests/scheduler/repeated_answers_test.cpp
@@ -176,6 +176,31 @@
   BOOST_TEST(TasksRunTwice().empty());
 }
 
+/** Guards against a second answer that is taken for that of a start: its job
+ *  counts as begun from then on, also for later owners, and the number of
+ *  pending jobs is too low. */
+BOOST_AUTO_TEST_CASE(RefusedStartsLeaveTheJobsPending) {
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, JobName(0)));
+  BOOST_REQUIRE(BecomesCompleted(node, JobName(0)));
+  standin::FakeRunnerFaults faults;
+  faults.m_refusesStarts = true;
+  for (const auto& runner : m_runners) runner->SetFaults(faults);
+  RepeatRunners(0.5);
+  constexpr int kWaiting = 12;
+  for (int job = 1; job <= kWaiting; ++job) {
+    BOOST_REQUIRE(SubmitUntilAccepted(node, JobName(job)));
+  }
+  constexpr Duration kWatched = seconds(6);
+  std::this_thread::sleep_for(kWatched);
+  BOOST_TEST(RepeatedByRunners() > 0U);
+  BOOST_TEST(Call(node, "GET", "/queue/").m_body ==
+             fmt::format(R"({{"pending":{}}})", kWaiting));
+  for (int job = 1; job <= kWaiting; ++job) {
+    BOOST_TEST(!HasRun(JobName(job)), JobName(job));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
