daemon: the busy answer to another request does not say that one has not run

Cause: RunnerGateway compared the request id in an answer only if the status was not 503. A 503 that the runner had made for another request counted as the refusal of this one, which may have run; the entry VM then tried it elsewhere.

Ruled out: the same with other statuses, which were compared; repeated answers of runners that copy Bronze-Call, which the client drops.

Change: each complete answer is compared.

Measured: AnswerOfAnotherRequestDecidesNothing fails before (503) and passes now.

--- a/src/daemon/runner_gateway.cpp
+++ b/src/daemon/runner_gateway.cpp
@@ -76,7 +76,7 @@
     result.m_runner = aRunner;
     result.m_end = ToAttemptEnd(aOutcome);
     result.m_runTime = Now() - start;
-    if (result.m_end == AttemptEnd::Answered &&
+    if (aOutcome.m_stage == CallStage::CompleteReply &&
         HasOtherRequestId(*keptCall, aOutcome.m_reply)) {
       Count(m_counters, CounterId::AnswersForeign);
       result.m_end = AttemptEnd::AnswerLost;
