ctl: an answer that no daemon has made leaves a change open

Cause: an answer without a JSON object was reported as peer_malformed, which says that nothing was done and gives exit code 1. The answer to a change can be that of a proxy (502), and the daemon may have made the change.

Ruled out: reads, which change nothing and keep exit code 1.

Change: after such an answer to a call other than GET, the error is outcome_unknown (exit code 5), as after a lost answer.

--- a/src/ctl/ctl_client.cpp
+++ b/src/ctl/ctl_client.cpp
@@ -84,11 +84,15 @@
   }
   auto body = nlohmann::json::parse(outcome.m_reply.m_body, nullptr, false);
   if (!body.is_object()) {
+    // A daemon always answers with an object, so this may be another server
+    // between it and us.
+    const bool isChange = aMethod != "GET";
     return MakeError(
-        ErrorKind::PeerMalformed,
+        isChange ? ErrorKind::OutcomeUnknown : ErrorKind::PeerMalformed,
         fmt::format("the server {} answered with HTTP status {} and without "
-                    "a JSON object",
-                    aOptions.m_server, outcome.m_reply.m_status));
+                    "a JSON object{}",
+                    aOptions.m_server, outcome.m_reply.m_status,
+                    isChange ? "; the change may have been made" : ""));
   }
   return CtlAnswer{outcome.m_reply.m_status, std::move(body)};
 }
--- a/tests/ctl/ctl_client_test.cpp
+++ b/tests/ctl/ctl_client_test.cpp
@@ -68,6 +68,28 @@
   }
 }
 
+// Guards against reporting a change as not made after an answer that no daemon
+// has sent, such as that of a proxy.
+BOOST_AUTO_TEST_CASE(AMalformedAnswerLeavesOnlyChangesUnknown) {
+  FakeServer server;
+  CtlOptions options;
+  options.m_server = server.Address();
+  for (const char* method : {"GET", "POST", "PUT", "DELETE"}) {
+    for (const int status : {200, 502}) {
+      for (const char* body : {"", "<html>", "[]"}) {
+        server.Answer(std::string(method) + " /target", status, body);
+        const auto answer = CallServer(options, method, "/target", {});
+        BOOST_REQUIRE(!answer.has_value());
+        const ErrorKind expected = std::string(method) == "GET"
+                                       ? ErrorKind::PeerMalformed
+                                       : ErrorKind::OutcomeUnknown;
+        BOOST_TEST((answer.error().m_kind == expected),
+                   method << " " << status << " " << body);
+      }
+    }
+  }
+}
+
 // Guards against a malformed answer that crashes bronzectl.
 BOOST_AUTO_TEST_CASE(UnexpectedAnswersAreErrors) {
   FakeServer server;
