--- a/tests/scheduler/repeated_answers_test.cpp
+++ b/tests/scheduler/repeated_answers_test.cpp
@@ -74,10 +74,12 @@
     for (const auto& proxy : m_runnerProxies) proxy->SetRepetition(aRepetition);
   }
 
-  /** Hands in all jobs, one after another, and waits until they are done. */
-  void RunJobs(const RunningNode& aNode) {
+  /** Hands in all jobs, one after another with a pause, and waits until they
+   *  are done. */
+  void RunJobs(const RunningNode& aNode, Duration aPause = Duration::zero()) {
     for (int job = 0; job < kJobs; ++job) {
       BOOST_REQUIRE(SubmitUntilAccepted(aNode, JobName(job)));
+      std::this_thread::sleep_for(aPause);
     }
     for (int job = 0; job < kJobs; ++job) {
       BOOST_TEST(BecomesCompleted(aNode, JobName(job)), JobName(job));
@@ -211,8 +213,10 @@
  *  next one, has timed out. Orders time out after 600 ms. */
 BOOST_AUTO_TEST_CASE(RunnersThatAnswerAgainMuchLaterRunNoTaskTwice) {
   RunningNode& node = AddNode("n1");
-  RepeatRunners({0.25, milliseconds(200), milliseconds(900), SIZE_MAX, {}});
-  RunJobs(node);
+  RepeatRunners({0.5, milliseconds(200), milliseconds(900), SIZE_MAX, {}});
+  // Lets orders go on while the late answers arrive.
+  constexpr Duration kPauseBetweenJobs = milliseconds(40);
+  RunJobs(node, kPauseBetweenJobs);
   BOOST_TEST(RepeatedByRunners() > 0U);
   CheckNoTaskRanTwice();
 }
