--- a/tests/scheduler/repeated_answers_test.cpp
+++ b/tests/scheduler/repeated_answers_test.cpp
@@ -86,6 +86,26 @@
     }
   }
 
+  /** Hands half of the jobs in to the owner, makes aChange, hands the others in
+   *  to the successor, and checks that all are done and none ran twice. */
+  void RunJobsAcrossAChange(const RunningNode& aOwner,
+                            const RunningNode& aSuccessor,
+                            const std::function<void()>& aChange) {
+    RepeatRunners(0.25);
+    for (int job = 1; job < kJobs / 2; ++job) {
+      BOOST_REQUIRE(SubmitUntilAccepted(aOwner, JobName(job)));
+    }
+    aChange();
+    for (int job = kJobs / 2; job < kJobs; ++job) {
+      BOOST_REQUIRE(SubmitUntilAccepted(aSuccessor, JobName(job)));
+    }
+    for (int job = 0; job < kJobs; ++job) {
+      BOOST_TEST(BecomesCompleted(aSuccessor, JobName(job)), JobName(job));
+    }
+    BOOST_TEST(RepeatedByRunners() > 0U);
+    CheckNoTaskRanTwice();
+  }
+
   /** Hands in jobs with numbers from aFirst on, by kCallers callers at once,
    *  until about aAccepted of them are accepted or kFaultTime is over. */
   SubmitAnswers SubmitMany(const RunningNode& aNode, int aFirst,
@@ -226,20 +246,7 @@
 BOOST_AUTO_TEST_CASE(RunnersThatAnswerTwiceRunNoTaskTwiceAfterAHandover) {
   RunningNode& owner = AddNode("n1");
   BOOST_REQUIRE(SubmitUntilAccepted(owner, JobName(0)));
-  RunningNode& successor = AddNode("n2");
-  RepeatRunners(0.25);
-  for (int job = 1; job < kJobs / 2; ++job) {
-    BOOST_REQUIRE(SubmitUntilAccepted(owner, JobName(job)));
-  }
-  owner.Stop();
-  for (int job = kJobs / 2; job < kJobs; ++job) {
-    BOOST_REQUIRE(SubmitUntilAccepted(successor, JobName(job)));
-  }
-  for (int job = 0; job < kJobs; ++job) {
-    BOOST_TEST(BecomesCompleted(successor, JobName(job)), JobName(job));
-  }
-  BOOST_TEST(RepeatedByRunners() > 0U);
-  CheckNoTaskRanTwice();
+  RunJobsAcrossAChange(owner, AddNode("n2"), [&owner] { owner.Stop(); });
 }
 
 /** As above, but the store turns the owner away without notice: it hands
@@ -247,22 +254,11 @@
 BOOST_AUTO_TEST_CASE(RunnersThatAnswerTwiceRunNoTaskTwiceAfterATakeover) {
   RunningNode& owner = AddNode("n1", true);
   BOOST_REQUIRE(SubmitUntilAccepted(owner, JobName(0)));
-  RunningNode& successor = AddNode("n2");
-  RepeatRunners(0.25);
-  for (int job = 1; job < kJobs / 2; ++job) {
-    BOOST_REQUIRE(SubmitUntilAccepted(owner, JobName(job)));
-  }
-  standin::RowStoreFaults faults;
-  faults.m_refusedServer = 1;
-  m_store.SetFaults(faults);
-  for (int job = kJobs / 2; job < kJobs; ++job) {
-    BOOST_REQUIRE(SubmitUntilAccepted(successor, JobName(job)));
-  }
-  for (int job = 0; job < kJobs; ++job) {
-    BOOST_TEST(BecomesCompleted(successor, JobName(job)), JobName(job));
-  }
-  BOOST_TEST(RepeatedByRunners() > 0U);
-  CheckNoTaskRanTwice();
+  RunJobsAcrossAChange(owner, AddNode("n2"), [this] {
+    standin::RowStoreFaults faults;
+    faults.m_refusedServer = 1;
+    m_store.SetFaults(faults);
+  });
 }
 
 /** Guards against second answers of the store and of runners that act
