--- a/tests/scheduler/platform_decode_test.cpp
+++ b/tests/scheduler/platform_decode_test.cpp
@@ -81,11 +81,12 @@
   BOOST_REQUIRE(report.has_value());
   BOOST_TEST(report.value().m_running.at(0).m_measure == 35);
   BOOST_TEST(report.value().m_ended.at(0).m_number.Value() == 58U);
+  constexpr const char* kReportWithAnOddEnd =
+      R"({"clock_ms":1,"running":[],)"
+      R"("finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"odd"]]})";
   for (const auto* bad :
        {"", "[]", "{}", R"({"clock_ms":"x"})",
-        R"({"clock_ms":1,"running":[5],"finished":[]})",
-        R"({"clock_ms":1,"running":[],)"
-        R"("finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"odd"]]})",
+        R"({"clock_ms":1,"running":[5],"finished":[]})", kReportWithAnOddEnd,
         R"({"clock_ms":1})", R"({"clock_ms":1,"running":[]})",
         R"({"clock_ms":1,"finished":[]})"}) {
     BOOST_TEST(!DecodeRunnerReport(bad).has_value(), bad);
