sched: the line on a waiting task counts all runners and shows their room

The line 'waits for a runner' gave the counts of the last search. After a failed search that is one of the few runners whose room has changed since (full=5 of 297), so it could not tell apart: room in pieces, runners hidden by remembered searches, memory held by best-effort tasks, and runners that are excluded.

SummarizeRoom examines all runners anew, once a second, and adds what they have free in total and on one runner. preemption_cmd.cpp uses the same FreeRoom and TakenBy.

--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -61,12 +61,20 @@
          aRunner.m_entry.m_service == aService;
 }
 
+Resources FreeRoom(const Runner& aRunner) {
+  Resources free = aRunner.m_entry.m_capacity - aRunner.m_reserved;
+  free.m_memory -= aRunner.m_bestEffortMemory;
+  return free;
+}
+
+Resources TakenBy(const StepSpec& aStep) {
+  Resources taken = aStep.m_need;
+  if (aStep.m_bestEffort) taken.m_cores = Millicores();
+  return taken;
+}
+
 bool HasRoom(const Runner& aRunner, const StepSpec& aStep) {
-  Resources used = aRunner.m_reserved;
-  used.m_memory += aRunner.m_bestEffortMemory;
-  Resources need = aStep.m_need;
-  if (aStep.m_bestEffort) need.m_cores = Millicores();
-  return Fits(used + need, aRunner.m_entry.m_capacity);
+  return Fits(TakenBy(aStep), FreeRoom(aRunner));
 }
 
 namespace {
@@ -213,6 +221,31 @@
 
 }  // namespace
 
+RoomSummary SummarizeRoom(const Cell& aCell, const PlacementQuery& aQuery,
+                          TimePoint aNow) {
+  RoomSummary summary;
+  const Resources need = TakenBy(*aQuery.m_step);
+  double interference = 0.0;
+  for (uint32_t at = 0; at < aCell.m_runners.size(); ++at) {
+    const Runner& runner = aCell.m_runners[at];
+    uint32_t* reason = RejectionReason(aCell, aQuery, RunnerIndex(at), aNow,
+                                       summary.m_tally, interference);
+    ++(reason != nullptr ? *reason : summary.m_accepting);
+    if (!IsUsable(runner, aQuery.m_service, aNow)) continue;
+    const Resources free = FreeRoom(runner);
+    if (free.m_cores < need.m_cores) ++summary.m_fewCores;
+    if (free.m_memory < need.m_memory) ++summary.m_littleMemory;
+    summary.m_free += free;
+    summary.m_mostFree.m_cores =
+        std::max(summary.m_mostFree.m_cores, free.m_cores);
+    summary.m_mostFree.m_memory =
+        std::max(summary.m_mostFree.m_memory, free.m_memory);
+    summary.m_bestEffortMemory += runner.m_bestEffortMemory;
+    summary.m_longRunningCores += runner.m_longRunningCores;
+  }
+  return summary;
+}
+
 namespace {
 
 /** The best runner found so far. */
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -19,6 +19,12 @@
 [[nodiscard]] bool IsUsable(const Runner& aRunner, const ServiceId& aService,
                             TimePoint aNow);
 
+/** @return the capacity that no task holds. */
+[[nodiscard]] Resources FreeRoom(const Runner& aRunner);
+
+/** @return what a task of the step takes from its runner's capacity. */
+[[nodiscard]] Resources TakenBy(const StepSpec& aStep);
+
 /** Whether the step's tasks fit beside the reserved resources. */
 [[nodiscard]] bool HasRoom(const Runner& aRunner, const StepSpec& aStep);
 
@@ -54,6 +60,21 @@
   uint32_t m_unfit = 0;  ///< Label, anti-affinity or approval does not match.
 };
 
+/** What the runners of a pool have left, for the log line about a task that
+ *  finds no runner. */
+struct RoomSummary {
+  PlacementTally m_tally;       ///< Over all runners of the cell.
+  uint32_t m_accepting = 0;     ///< Runners that would take the task.
+  uint32_t m_fewCores = 0;      ///< Usable runners with too few free cores.
+  uint32_t m_littleMemory = 0;  ///< Usable runners with too little free memory.
+  Resources m_free;             ///< Sum over the usable runners.
+  /** The most that one usable runner has free; each amount may be another
+   *  runner's. */
+  Resources m_mostFree;
+  Mebibytes m_bestEffortMemory;   ///< Held on the usable runners.
+  Millicores m_longRunningCores;  ///< Held on the usable runners.
+};
+
 /** Declared cores of the long-running tasks on a rack, and its capacity. */
 struct RackLoad {
   Millicores m_longRunningDemand;
@@ -89,6 +110,12 @@
 [[nodiscard]] bool MeetsConstraints(const PlacementQuery& aQuery,
                                     const Runner& aRunner, RunnerIndex aIndex);
 
+/** Examines all runners for the query, whatever is known from earlier
+ *  searches. */
+[[nodiscard]] RoomSummary SummarizeRoom(const Cell& aCell,
+                                        const PlacementQuery& aQuery,
+                                        TimePoint aNow);
+
 /** @return the best runner; invalid if none has room. */
 [[nodiscard]] RunnerIndex ChooseRunner(const Cell& aCell,
                                        const PlacementQuery& aQuery,
--- a/src/core/sched/preemption_cmd.cpp
+++ b/src/core/sched/preemption_cmd.cpp
@@ -28,13 +28,6 @@
   bool m_found = false;
 };
 
-/** Resources that the task takes from its runner's capacity. */
-Resources TakenBy(const StepSpec& aStep) {
-  Resources taken = aStep.m_need;
-  if (aStep.m_bestEffort) taken.m_cores = Millicores();
-  return taken;
-}
-
 bool MayBeStopped(const TaskPlace& aVictim, int aPriority) {
   return aVictim.m_task != nullptr &&
          aVictim.m_job->m_spec.m_policy.m_priority > aPriority &&
@@ -54,14 +47,11 @@
 /** Compares the tasks of one runner with the best candidate so far. */
 void ConsiderRunner(Cell& aCell, const Runner& aRunner, const StepSpec& aStep,
                     int aPriority, TimePoint aNow, Victim& aBest) {
-  Resources used = aRunner.m_reserved;
-  used.m_memory += aRunner.m_bestEffortMemory;
+  const Resources free = FreeRoom(aRunner);
   for (const TaskKey& key : aRunner.m_tasks) {
     const TaskPlace victim = FindTask(aCell, key);
     if (!MayBeStopped(victim, aPriority)) continue;
-    Resources after = used + TakenBy(aStep);
-    after -= TakenBy(*victim.m_step);
-    if (!Fits(after, aRunner.m_entry.m_capacity)) continue;
+    if (!Fits(TakenBy(aStep), free + TakenBy(*victim.m_step))) continue;
     const double lost = LostWork(victim, aNow);
     if (aBest.m_found && lost >= aBest.m_lostWork) continue;
     aBest = {key, lost, true};
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -86,26 +86,35 @@
 /** Logs why a task waits; one line a second, for the first such task in the
  *  queue. */
 void LogWait(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
-             const PlacementTally& aTally, TimePoint aNow) {
+             const PlacementQuery& aQuery, TimePoint aNow) {
   constexpr Duration kMinLoggedWait = seconds(1);
   constexpr Duration kLogInterval = seconds(1);
   const Duration waited = aNow - aPlace.m_task->m_phaseSince;
   if (waited < kMinLoggedWait) return;
   if (aNow - aCell.m_waitLoggedAt < kLogInterval) return;
   aCell.m_waitLoggedAt = aNow;
+  // The search that failed may have examined a few runners only.
+  const RoomSummary room = SummarizeRoom(aCell, aQuery, aNow);
+  const PlacementTally& tally = room.m_tally;
   LogDecision(
       aCell,
       fmt::format(
-          "waits for a runner task={} for_ms={} priority={} cores={} memory={} "
-          "label={} runners={} unusable={} probed={} full={} busy={} "
-          "harmed={} unfit={}",
-          TaskText(aKey), waited.count() / 1000,
+          "waits for a runner task={} for_ms={} run={} priority={} cores={} "
+          "memory={} label={} runners={} unusable={} probed={} full={} busy={} "
+          "harmed={} unfit={} accepting={} few_cores={} little_memory={} "
+          "free_cores={} free_memory={} most_cores={} most_memory={} "
+          "best_effort_memory={} long_running_cores={}",
+          TaskText(aKey), waited.count() / 1000, aPlace.m_task->m_run.Value(),
           aPlace.m_job->m_spec.m_policy.m_priority,
           aPlace.m_step->m_need.m_cores.Value(),
           aPlace.m_step->m_need.m_memory.Value(),
           aPlace.m_step->m_requiredLabel, aCell.m_runners.size(),
-          aTally.m_unusable, aTally.m_probed, aTally.m_full, aTally.m_busy,
-          aTally.m_overTarget, aTally.m_unfit));
+          tally.m_unusable, tally.m_probed, tally.m_full, tally.m_busy,
+          tally.m_overTarget, tally.m_unfit, room.m_accepting, room.m_fewCores,
+          room.m_littleMemory, room.m_free.m_cores.Value(),
+          room.m_free.m_memory.Value(), room.m_mostFree.m_cores.Value(),
+          room.m_mostFree.m_memory.Value(), room.m_bestEffortMemory.Value(),
+          room.m_longRunningCores.Value()));
 }
 
 /** Whether the task should wait for a runner on the rack of its data instead
@@ -344,7 +353,7 @@
     }
     if (!runner.IsValid()) {
       NoteUnplaced(aCell, aKey, query, aPass, aNow);
-      LogWait(aCell, key, place, tally, aNow);
+      LogWait(aCell, key, place, query, aNow);
       return any ? StepResult::SomeLeft : StepResult::NonePlaced;
     }
     if (step.m_sameRack && query.m_rack.empty()) {
