sched: the pace of a run that another owner started is not known

Callers saw long-running tasks without a run for 9 to 16 s although runners had room: after a takeover, healthy runners were in quarantine.

Cause: Task::m_pace began with 100, also for runs that the earlier owner had throttled. The successor ordered nothing, as the wanted pace equalled the assumed one; the run stood still, counted as stalled after 2.5 s, and its runner went into quarantine.

Change: m_pace is optional and set only by this owner's start or order, so a run whose pace is not known can't count as stalled and its first report triggers an order. Time in which a run was paused is no time without progress.

--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -133,6 +133,9 @@
   Done,
 };
 
+/** Pace of a run that is not throttled, in percent. */
+inline constexpr int kFullPace = 100;
+
 struct Task {
   TaskPhase m_phase = TaskPhase::Blocked;
   RunNumber m_run;  ///< Highest run number assigned; 0: none.
@@ -149,8 +152,14 @@
   bool m_stopAnswered = false;
   std::string m_checkpoint;  ///< Empty: start from the beginning.
   int m_percent = 0;         ///< Progress that the runner reported.
-  TimePoint m_progressAt;    ///< When m_percent last rose.
-  int m_pace = 100;  ///< Share of full speed that was last ordered, percent.
+  /** When m_percent last rose, or full speed was last ordered or confirmed. A
+   *  run without progress counts as stalled only from then on. */
+  TimePoint m_progressAt;
+  /** Of a best-effort task: share of full speed that this owner last ordered,
+   *  in percent; a run that this owner starts begins with kFullPace. Not set:
+   *  not known, as an earlier owner may have ordered any pace, or an order got
+   *  no answer. */
+  std::optional<int> m_pace;
   /** Reported by the runner: tail latency in ms of a latency-critical task, or
    *  cores in use, in thousandths, of any other. */
   int64_t m_measure = 0;
--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -206,12 +206,19 @@
   return pace;
 }
 
+/** Whether the pace is close enough to the wanted one, in percent. */
+bool IsPaceKept(const Task& aTask, int aPercent) {
+  if (!aTask.m_pace) return false;
+  const bool atEnd = aPercent == 0 || aPercent == kFullPace;
+  const int change = std::abs(*aTask.m_pace - aPercent);
+  return change == 0 || (!atEnd && change < kMinPaceChange);
+}
+
 void OrderPace(Cell& aCell, RunnerIndex aIndex, const TaskKey& aKey,
-               Task& aTask, int aPercent) {
-  const bool atEnd = aPercent == 0 || aPercent == 100;
-  const int change = std::abs(aTask.m_pace - aPercent);
-  if (change == 0 || (!atEnd && change < kMinPaceChange)) return;
+               Task& aTask, int aPercent, TimePoint aNow) {
+  if (IsPaceKept(aTask, aPercent)) return;
   aTask.m_pace = aPercent;
+  if (aPercent == kFullPace) aTask.m_progressAt = aNow;
   ++aCell.m_counts.m_paces;
   aCell.m_orders.emplace_back(PaceOrder{aKey, aTask.m_run, aIndex, aPercent});
 }
@@ -250,7 +257,7 @@
     }
     const int percent = static_cast<int>(std::lround(pace * 100.0));
     OrderPace(aCell, aIndex, key, *place.m_task,
-              overFor > kPauseAfter ? 0 : percent);
+              overFor > kPauseAfter ? 0 : percent, aNow);
   }
 }
 
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -27,9 +27,6 @@
  *  this much time to report how its runs ended. Cuts between an owner and
  * single runners usually last less than a lease and this time together. */
 constexpr Duration kLapsedReportWait = seconds(10);
-/** Differs from every valid pace, so that the next report triggers a new
- *  order. */
-constexpr int kPaceUnknown = -1;
 /** An unanswered stop is repeated after this time. */
 constexpr Duration kStopRepeat = milliseconds(700);
 /** An unanswered start is stopped if no report lists its run within this time.
@@ -326,11 +323,14 @@
 }
 
 void ApplyPaceAnswer(Cell& aCell, const PaceOrder& aOrder,
-                     OrderOutcome aOutcome) {
-  if (aOutcome == OrderOutcome::Applied) return;
+                     OrderOutcome aOutcome, TimePoint aNow) {
   const TaskPlace place = FindTask(aCell, aOrder.m_task);
   if (place.m_task == nullptr || place.m_task->m_run != aOrder.m_run) return;
-  place.m_task->m_pace = kPaceUnknown;
+  if (aOutcome == OrderOutcome::Applied) {
+    if (aOrder.m_percent == kFullPace) place.m_task->m_progressAt = aNow;
+    return;
+  }
+  place.m_task->m_pace.reset();
 }
 
 void ReleaseStoredEnds(Cell& aCell, Runner& aRunner, TimePoint aNow) {
--- a/src/core/sched/runner_cmd.h
+++ b/src/core/sched/runner_cmd.h
@@ -84,10 +84,10 @@
 void ApplyStopAnswer(Cell& aCell, const StopOrder& aOrder,
                      OrderOutcome aOutcome, TimePoint aNow);
 
-/** If the order was not applied, the pace is ordered again after the next
- *  report. */
+/** If the order was not applied, the pace is not known any more, and is ordered
+ *  again after the next report. */
 void ApplyPaceAnswer(Cell& aCell, const PaceOrder& aOrder,
-                     OrderOutcome aOutcome);
+                     OrderOutcome aOutcome, TimePoint aNow);
 
 /** Acknowledges the ends whose job version is durable. */
 void ReleaseStoredEnds(Cell& aCell, Runner& aRunner, TimePoint aNow);
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -277,6 +277,12 @@
   }
 }
 
+/** Whether the run is known not to be throttled. Only best-effort tasks ever
+ *  are, by this owner or by an earlier one. */
+bool IsAtFullPace(const StepSpec& aStep, const Task& aTask) {
+  return !aStep.m_bestEffort || aTask.m_pace == kFullPace;
+}
+
 /** Moves tasks without progress on a runner that seems healthy. */
 void StopStalled(Cell& aCell, Runner& aRunner, TimePoint aNow) {
   const std::vector<TaskKey> keys = aRunner.m_tasks;
@@ -284,7 +290,8 @@
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task == nullptr) continue;
     Task& task = *place.m_task;
-    if (task.m_phase != TaskPhase::Running || task.m_pace < 100) continue;
+    if (task.m_phase != TaskPhase::Running) continue;
+    if (!IsAtFullPace(*place.m_step, task)) continue;
     if (place.m_step->m_longRunning && task.m_percent >= 100) continue;
     const Duration limit =
         aCell.m_settings.m_stallTime + place.m_step->m_estimate / 2;
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -43,6 +43,7 @@
   aCell.m_runners[task.m_runner.Value()].m_lastPlacedAt = aNow;
   task.m_run = aRun;
   task.m_percent = 0;
+  task.m_pace = kFullPace;
   task.m_stopAnswered = false;
   MarkChanged(aCell, *aPlace.m_job);
   task.m_intentVersion = aPlace.m_job->m_version;
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -111,7 +111,7 @@
   std::erase(runner.m_tasks, aKey);
   if (aTask.m_phase == TaskPhase::Intended) --aCell.m_window.m_intended;
   aTask.m_runner = RunnerIndex();
-  aTask.m_pace = 100;
+  aTask.m_pace.reset();
   aTask.m_measure = 0;
   aTask.m_ownLoad = -1.0;
   aTask.m_load = -1.0;
--- a/tests/core/sched/interference_test.cpp
+++ b/tests/core/sched/interference_test.cpp
@@ -125,6 +125,90 @@
   BOOST_TEST(paces[0].m_percent == 0);
 }
 
+namespace {
+
+/** A best-effort task that runs under an owner that did not start it. */
+struct RecoveredBestEffortTask : CellFixture {
+  RecoveredBestEffortTask() {
+    m_runner = AddRunner("a");
+    JobSpec spec = Spec(1);
+    spec.m_steps[0].m_bestEffort = true;
+    Submit(std::move(spec));
+    StartAll();
+    const RunnerEntry entry = m_cell.m_runners[m_runner.Value()].m_entry;
+    TakeOver();
+    m_runner = UpdateRunner(m_cell, entry, m_now, m_unixNow);
+  }
+
+  void ReportProgress(int aPercent) {
+    Report(m_runner, {{{JobId(1), 0, 0, 0}, RunNumber(1), "", aPercent, 0}},
+           {});
+  }
+
+  RunnerIndex m_runner;
+};
+
+}  // namespace
+
+/** Guards against the pace that an earlier owner ordered, which its successor
+ *  took for full speed: it stopped the throttled runs as stalled, put their
+ *  healthy runners into quarantine, and long-running tasks found no room (seen
+ *  on lost-runners-then-owner, seeds 93 and 196). */
+BOOST_FIXTURE_TEST_CASE(PaceOfAnEarlierOwnerIsNotTakenForFullSpeed,
+                        RecoveredBestEffortTask) {
+  for (int report = 0; report < 20; ++report) {
+    ReportProgress(40);
+    BOOST_TEST(std::none_of(m_cell.m_orders.begin(), m_cell.m_orders.end(),
+                            [](const Order& aOrder) {
+                              return std::holds_alternative<StopOrder>(aOrder);
+                            }));
+    const auto paces = Take<PaceOrder>();
+    BOOST_REQUIRE_EQUAL(paces.size(), 1U);
+    BOOST_TEST(paces[0].m_percent == 100);
+    // Until an order is answered, the run may work at any pace.
+    ApplyPaceAnswer(m_cell, paces[0], OrderOutcome::Unknown, m_now);
+    AdvanceTime(milliseconds(400));
+  }
+  BOOST_TEST(m_cell.m_counts.m_quarantines == 0U);
+}
+
+/** Guards against a stalled run of an earlier owner that is never stopped. */
+BOOST_FIXTURE_TEST_CASE(RecoveredRunAtFullPaceMayStall,
+                        RecoveredBestEffortTask) {
+  ReportProgress(40);
+  const auto paces = Take<PaceOrder>();
+  BOOST_REQUIRE_EQUAL(paces.size(), 1U);
+  AdvanceTime(milliseconds(100));
+  ApplyPaceAnswer(m_cell, paces[0], OrderOutcome::Applied, m_now);
+  AdvanceTime(m_cell.m_settings.m_stallTime);
+  ReportProgress(40);
+  BOOST_TEST(Take<StopOrder>().empty());
+  AdvanceTime(seconds(1));
+  ReportProgress(40);
+  BOOST_TEST(Take<StopOrder>().size() == 1U);
+}
+
+/** Guards against a run that counts as stalled for the time in which it was
+ *  paused. */
+BOOST_FIXTURE_TEST_CASE(PausedTimeIsNoStall, CellFixture) {
+  const RunnerIndex runner = AddRunner("a");
+  JobSpec spec = Spec(1);
+  spec.m_steps[0].m_bestEffort = true;
+  Submit(std::move(spec));
+  StartAll();
+  TaskOf(1).m_pace = 0;
+  AdvanceTime(seconds(10));
+  const RunningRow row{{JobId(1), 0, 0, 0}, RunNumber(1), "", 0, 0};
+  // No latency-critical task needs the pause any more.
+  Report(runner, {row}, {});
+  const auto paces = Take<PaceOrder>();
+  BOOST_REQUIRE_EQUAL(paces.size(), 1U);
+  BOOST_TEST(paces[0].m_percent == 100);
+  AdvanceTime(milliseconds(400));
+  Report(runner, {row}, {});
+  BOOST_TEST(Take<StopOrder>().empty());
+}
+
 /** Guards against a new owner that has to learn the interference between
  *  images again: until then, tail latencies exceed their targets. */
 BOOST_AUTO_TEST_CASE(LearnedInterferenceIsRestoredByName) {
