sched: lost long-running tasks don't wait for the end of a quarantine

Callers saw a service without one of its tasks for 9 to 16 s while a runner had room for it.

Cause: a quarantine (up to 12 s) and the probation after it (4 s, one task) exclude a runner for all work. The rule gives a long-running task 9 s, of which the lease of the lost runner takes 5.

Change: a restart that has waited for 2 s takes any runner that is reachable and has room. PlaceOverdueRestarts examines all waiting restarts and all runners, each 100 ms, and depends on no remembered search. The pause after a refused start has a member of its own, since it holds for restarts, too. Metrics and a log line for the longest wait.

LostRunDoesNotWaitForTheEndOfAQuarantine, ...OfAProbation and RefusedRestartWaitsAgain fail without it (starts.size() 0 instead of 1).

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -132,6 +132,11 @@
   uint64_t m_quarantines = 0;
   uint64_t m_rejectedStarts = 0;
   uint64_t m_preemptions = 0;
+  /** Long-running tasks that were placed on a runner in quarantine. */
+  uint64_t m_restartsInQuarantine = 0;
+  /** Longest time in which a long-running task that had lost its run waited for
+   *  a runner. */
+  Duration m_longestRestartWait = Duration::zero();
   uint64_t m_adviceAsked = 0;
   uint64_t m_adviceFailed = 0;
   uint64_t m_jobsRouted = 0;     ///< New jobs sent to another cell.
@@ -261,6 +266,8 @@
   TimePoint m_fullSearchAt;  ///< When both lists were last cleared.
   /** Time of the last log line about a waiting task. */
   TimePoint m_waitLoggedAt;
+  /** Time of the last log line about long-running tasks without a run. */
+  TimePoint m_restartWaitLoggedAt;
   CellCounts m_counts;
 };
 
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -51,16 +51,21 @@
 
 }  // namespace
 
-bool IsUsable(const Runner& aRunner, const ServiceId& aService,
-              TimePoint aNow) {
+bool IsReachable(const Runner& aRunner, const ServiceId& aService,
+                 TimePoint aNow) {
   return aRunner.m_listed && aRunner.m_contacted &&
          !aRunner.m_entry.m_draining && aRunner.m_missedRenewals == 0 &&
          !aRunner.m_lapseStored && !aRunner.m_hasUnknownRuns &&
-         aRunner.m_supersededRuns.empty() &&
-         aRunner.m_quarantinedUntil <= aNow &&
+         aRunner.m_supersededRuns.empty() && aRunner.m_pausedUntil <= aNow &&
          aRunner.m_entry.m_service == aService;
 }
 
+bool IsUsable(const Runner& aRunner, const ServiceId& aService,
+              TimePoint aNow) {
+  return IsReachable(aRunner, aService, aNow) &&
+         aRunner.m_quarantinedUntil <= aNow;
+}
+
 Resources FreeRoom(const Runner& aRunner) {
   Resources free = aRunner.m_entry.m_capacity - aRunner.m_reserved;
   free.m_memory -= aRunner.m_bestEffortMemory;
@@ -182,8 +187,12 @@
                           PlacementTally& aTally, double& aInterference) {
   const StepSpec& step = *aQuery.m_step;
   const Runner& runner = aCell.m_runners[aIndex.Value()];
-  if (!IsUsable(runner, aQuery.m_service, aNow)) return &aTally.m_unusable;
-  if (IsOnProbation(aCell.m_settings, runner, aNow)) return &aTally.m_probed;
+  if (aQuery.m_acceptsQuarantined) {
+    if (!IsReachable(runner, aQuery.m_service, aNow)) return &aTally.m_unusable;
+  } else {
+    if (!IsUsable(runner, aQuery.m_service, aNow)) return &aTally.m_unusable;
+    if (IsOnProbation(aCell.m_settings, runner, aNow)) return &aTally.m_probed;
+  }
   if (!HasRoom(runner, step)) return &aTally.m_full;
   if (!MeetsConstraints(aQuery, runner, aIndex)) return &aTally.m_unfit;
   if (!step.m_bestEffort) return nullptr;
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -15,7 +15,12 @@
 
 namespace bronze::sched {
 
-/** Whether new work may go to the runner at all. */
+/** Whether a run may be started on the runner of that pool: it answers, stays,
+ *  and all of its runs are known. */
+[[nodiscard]] bool IsReachable(const Runner& aRunner, const ServiceId& aService,
+                               TimePoint aNow);
+
+/** Whether new work may go to the runner: IsReachable and not in quarantine. */
 [[nodiscard]] bool IsUsable(const Runner& aRunner, const ServiceId& aService,
                             TimePoint aNow);
 
@@ -96,6 +101,8 @@
   std::function<uint32_t(RunnerIndex)> m_sameStep;
   /** Whether the queue's policy allows the runner; empty: all are allowed. */
   std::function<bool(RunnerIndex)> m_isApproved;
+  /** Runners in quarantine or on probation are examined like all others. */
+  bool m_acceptsQuarantined = false;
   PlacementTally* m_tally = nullptr;  ///< Output, if set.
   /** If set, only the runners in m_roomChanges from this index on are examined;
    *  no other has room. */
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -27,6 +27,8 @@
  *  this much time to report how its runs ended. Cuts between an owner and
  * single runners usually last less than a lease and this time together. */
 constexpr Duration kLapsedReportWait = seconds(10);
+/** Time in which a runner that has refused a start sends its next report. */
+constexpr Duration kPauseAfterRefusal = milliseconds(300);
 /** An unanswered stop is repeated after this time. */
 constexpr Duration kStopRepeat = milliseconds(700);
 /** An unanswered start is stopped if no report lists its run within this time.
@@ -148,6 +150,7 @@
   aRunner.m_failuresInRow = 0;
   aRunner.m_quarantineCount = 0;
   aRunner.m_quarantinedUntil = TimePoint();
+  aRunner.m_pausedUntil = TimePoint();
   aRunner.m_slowness = 1.0;
   aRunner.m_tailRatio = 0.0;
   aRunner.m_isOverTarget = false;
@@ -270,8 +273,7 @@
   }
   // A runner that refuses a start gets no tasks for a moment: until its next
   // report, its own view of its capacity may differ from this one.
-  runner.m_quarantinedUntil =
-      std::max(runner.m_quarantinedUntil, aNow + milliseconds(300));
+  runner.m_pausedUntil = aNow + kPauseAfterRefusal;
   Requeue(aCell, aOrder.m_task, place, aNow);
 }
 
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -163,9 +163,14 @@
   std::vector<SupersededRun> m_supersededRuns;
 
   uint32_t m_failuresInRow = 0;
+  /** Quarantines since a task last succeeded there, 3 at most. Runs that fail
+   *  or stall during a quarantine began before it, so they add none. */
   uint32_t m_quarantineCount = 0;
-  TimePoint m_quarantinedUntil;  ///< Nothing is placed there before this time.
-  TimePoint m_lastPlacedAt;      ///< When a task was last placed there.
+  /** Before this time, only long-running tasks that have lost their run and
+   *  found no other runner are placed there (restart_cmd.h). */
+  TimePoint m_quarantinedUntil;
+  TimePoint m_pausedUntil;   ///< Nothing at all is placed there before.
+  TimePoint m_lastPlacedAt;  ///< When a task was last placed there.
   /** Moving average of run time over estimate; 1: as estimated. */
   double m_slowness = 1.0;
   /** By image; the cores sum to m_bestEffortCores. */
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -13,61 +13,15 @@
 #include "core/sched/advice_cmd.h"
 #include "core/sched/job_cmd.h"
 #include "core/sched/order_window_func.h"
-#include "core/sched/placement_func.h"
+#include "core/sched/placement_cmd.h"
 #include "core/sched/preemption_cmd.h"
+#include "core/sched/restart_cmd.h"
 #include "core/sched/task_internal.h"
 
 namespace bronze::sched {
 
 namespace {
 
-uint32_t TasksOfStepOn(const Cell& aCell, const QueueKey& aKey,
-                       RunnerIndex aRunner) {
-  const auto& tasks = aCell.m_runners[aRunner.Value()].m_tasks;
-  return static_cast<uint32_t>(
-      std::count_if(tasks.begin(), tasks.end(), [&](const TaskKey& aTask) {
-        return aTask.m_job == aKey.m_job &&
-               aTask.m_occurrence == aKey.m_occurrence &&
-               aTask.m_step == aKey.m_step;
-      }));
-}
-
-/** Assigns the run number of a task whose resources are reserved, and marks
- *  the job for a commit. */
-void MarkIntended(Cell& aCell, const TaskPlace& aPlace, RunNumber aRun,
-                  TimePoint aNow) {
-  Task& task = *aPlace.m_task;
-  task.m_phase = TaskPhase::Intended;
-  ++aCell.m_window.m_intended;
-  task.m_phaseSince = aNow;
-  aCell.m_runners[task.m_runner.Value()].m_lastPlacedAt = aNow;
-  task.m_run = aRun;
-  task.m_percent = 0;
-  task.m_pace = kFullPace;
-  task.m_stopAnswered = false;
-  MarkChanged(aCell, *aPlace.m_job);
-  task.m_intentVersion = aPlace.m_job->m_version;
-}
-
-PlacementQuery QueryFor(const Cell& aCell, const QueueKey& aKey,
-                        const Job& aJob, const StepSpec& aStep,
-                        TimePoint aNow) {
-  PlacementQuery query;
-  query.m_step = &aStep;
-  query.m_service = ServiceOf(aCell, aJob.m_spec);
-  query.m_rack = aStep.m_affinityRack;
-  if (aJob.m_spec.m_policy.m_advice) {
-    const StepKey stepKey{aKey.m_job, aKey.m_occurrence, aKey.m_step};
-    query.m_isApproved = [&aCell, stepKey, aNow](RunnerIndex aRunner) {
-      return ApprovalOf(aCell, stepKey, aRunner, aNow) != nullptr;
-    };
-  }
-  query.m_sameStep = [&aCell, &aKey](RunnerIndex aRunner) {
-    return TasksOfStepOn(aCell, aKey, aRunner);
-  };
-  return query;
-}
-
 enum class StepResult : uint8_t { AllPlaced, SomeLeft, NonePlaced };
 
 /** @return the rack of a placed task of the step; empty: none is placed. */
@@ -425,7 +379,8 @@
     UpdateShortDemand(aCell, aNow);
     UpdateLeastUrgent(aCell);
   }
-  if (aNow - aCell.m_fullSearchAt >= kFullSearchInterval) {
+  const bool isFullSearch = aNow - aCell.m_fullSearchAt >= kFullSearchInterval;
+  if (isFullSearch) {
     aCell.m_fullSearchAt = aNow;
     aCell.m_failedSearches.clear();
     aCell.m_roomChanges.clear();
@@ -447,6 +402,7 @@
     }
     ++at;
   }
+  if (isFullSearch) PlaceOverdueRestarts(aCell, aNow);
 }
 
 void OrderStarts(Cell& aCell, JobId aJob, TimePoint aNow) {
@@ -464,7 +420,11 @@
         }
         const TaskKey key{aJob, number, step, i};
         Runner& runner = aCell.m_runners[task.m_runner.Value()];
-        if (!IsUsable(runner, ServiceOf(aCell, job.m_spec), aNow)) {
+        const ServiceId& service = ServiceOf(aCell, job.m_spec);
+        const bool mayStart = IsRestart(job.m_spec.m_steps[step], task)
+                                  ? IsReachable(runner, service, aNow)
+                                  : IsUsable(runner, service, aNow);
+        if (!mayStart) {
           Requeue(aCell, key, FindTask(aCell, key), aNow);
           continue;
         }
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -203,7 +203,8 @@
   }
 }
 
-/** A task of the step has left TaskPhase::Ready. */
+}  // namespace
+
 void LeaveQueueIfIdle(Cell& aCell, const TaskKey& aKey,
                       const TaskPlace& aPlace) {
   if (HasReadyTask(*aPlace.m_job, *aPlace.m_occurrence, aKey.m_step)) return;
@@ -211,8 +212,6 @@
       QueueKeyOf(*aPlace.m_job, aKey.m_occurrence, aKey.m_step));
 }
 
-}  // namespace
-
 void FinishTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
                 TimePoint aNow) {
   Task& task = *aPlace.m_task;
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -40,6 +40,11 @@
 [[nodiscard]] bool HasReadyTask(const Job& aJob, const Occurrence& aOccurrence,
                                 uint32_t aStep);
 
+/** A task of the step has left TaskPhase::Ready: removes the step from the
+ * queue if it was the last one. */
+void LeaveQueueIfIdle(Cell& aCell, const TaskKey& aKey,
+                      const TaskPlace& aPlace);
+
 /** @return the cores that the step's waiting tasks need. */
 [[nodiscard]] Millicores WaitingCores(const Job& aJob, const QueueKey& aKey);
 
--- a/src/scheduler/entry_metrics.cpp
+++ b/src/scheduler/entry_metrics.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 
 #include "core/metrics/histogram_func.h"
+#include "core/sched/restart_cmd.h"
+#include "scheduler/boot_clock.h"
 #include "scheduler/entry_node.h"
 
 namespace bronze {
@@ -15,6 +17,11 @@
   aText += fmt::format("bronze_{} {}\n", aName, aCount);
 }
 
+uint64_t ToMillis(Duration aTime) {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<milliseconds>(aTime).count());
+}
+
 void AppendCell(std::string& aText, const std::string& aLabel,
                 const sched::Cell& aCell) {
   const auto append = [&](std::string_view aName, uint64_t aCount) {
@@ -35,6 +42,10 @@
   append("tasks_stalled_total", counts.m_stalledTasks);
   append("quarantines_total", counts.m_quarantines);
   append("preemptions_total", counts.m_preemptions);
+  append("restarts_in_quarantine_total", counts.m_restartsInQuarantine);
+  append("longest_restart_wait_ms", ToMillis(counts.m_longestRestartWait));
+  append("restart_wait_ms",
+         ToMillis(sched::LongestRestartWait(aCell, BootNow())));
   append("advice_calls_total", counts.m_adviceAsked);
   append("advice_failures_total", counts.m_adviceFailed);
   append("jobs_routed_total", counts.m_jobsRouted);
