sched: runs that stall in a quarantine add none

Each run that stalled in one report counted as a quarantine, so that a first fault excluded a runner for 12 s instead of 4 s: 'runner quarantined ... count=3' three times within 0.1 s. Runs that fail or stall during a quarantine began before it; they show nothing new about the runner.

RunsThatStallTogetherAreOneQuarantine fails without it (count 3).

--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -55,6 +55,9 @@
 
 void Quarantine(Cell& aCell, Runner& aRunner, TimePoint aNow,
                 std::string_view aReason) {
+  const bool isInQuarantine =
+      aRunner.m_quarantineCount > 0 && aRunner.m_quarantinedUntil > aNow;
+  if (isInQuarantine) return;
   const auto limit =
       static_cast<size_t>(aCell.m_settings.m_maxQuarantineShare *
                           static_cast<double>(aCell.m_runners.size()));
--- a/tests/core/sched/restart_test.cpp
+++ b/tests/core/sched/restart_test.cpp
@@ -103,6 +103,27 @@
   BOOST_TEST(StartsWithin(milliseconds(300)).size() == 1U);
 }
 
+/** Guards against a long quarantine after a single fault: several runs that
+ *  stalled at the same time counted as a quarantine each. */
+BOOST_AUTO_TEST_CASE(RunsThatStallTogetherAreOneQuarantine) {
+  const RunnerIndex runner = AddRunner("c", 64000);
+  m_cell.m_settings.m_maxQuarantineShare = 1.0;
+  Submit(Spec(2, 3));
+  BOOST_REQUIRE_EQUAL(StartAll().size(), 4U);
+  std::vector<RunningRow> rows;
+  for (const TaskKey& key : m_cell.m_runners[runner.Value()].m_tasks) {
+    rows.push_back(
+        {key, TaskOf(key.m_job.Value(), key.m_index).m_run, "", 0, 0});
+  }
+  AdvanceTime(seconds(5));
+  Report(runner, rows, {});
+  const Runner& stalled = m_cell.m_runners[runner.Value()];
+  BOOST_TEST(Take<StopOrder>().size() == 4U);
+  BOOST_TEST(stalled.m_quarantineCount == 1U);
+  BOOST_TEST(
+      (stalled.m_quarantinedUntil == m_now + m_cell.m_settings.m_quarantine));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
