scheduler: only an owner with authority counts pending jobs

An owner that the store refuses gave the number of pending jobs that it last knew, although its successor may have accepted jobs since; a look-up answers 'no such job' only with authority, but the count had no such check. If no runner tells the former owner of its successor, this lasted as long as the store refused it.

FormerOwnerGivesNoCount fails without it: the former owner answers 0 while the successor has 6 waiting jobs.

--- a/src/scheduler/cell_owner_calls.cpp
+++ b/src/scheduler/cell_owner_calls.cpp
@@ -72,7 +72,13 @@
       Adopt(std::move(aCall), std::move(aHandler));
       return;
     case PeerVerb::CountPending:
-      answer.m_count = sched::PendingJobs(m_cell, aCall.m_queue);
+      // Without authority there may be another owner, whose jobs are missing.
+      if (HasAuthority(now)) {
+        answer.m_count = sched::PendingJobs(m_cell, aCall.m_queue);
+      } else {
+        answer.m_error = MakeError(ErrorKind::StoreUnavailable,
+                                   "the store is not available");
+      }
       break;
   }
   aHandler(std::move(answer));
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -146,6 +146,8 @@
   std::unordered_map<JobId, CellId> m_knownRoutes;
   struct KnownCount {
     uint64_t m_count = 0;
+    /** When it was asked for. The owner had authority when it answered, so the
+     *  count was true at some later time. */
     TimePoint m_at;
   };
   /** Pending jobs of a queue in one cell, as last answered. */
--- a/tests/scheduler/scheduler_store_test.cpp
+++ b/tests/scheduler/scheduler_store_test.cpp
@@ -283,6 +283,34 @@
   }));
 }
 
+/** Guards against a count of waiting jobs by a VM that was the owner and cannot
+ *  learn that it is not any more: it gave the number it last knew, for as long
+ *  as the store refused it, while its successor accepted jobs. */
+BOOST_AUTO_TEST_CASE(FormerOwnerGivesNoCount) {
+  // Runners would tell it by their fencing tokens.
+  m_runners.clear();
+  RunningNode& former = AddNode("n1", true);
+  const auto countOf = [this](const RunningNode& aNode) {
+    const HttpReply reply = Call(aNode, "GET", "/queue/");
+    return reply.m_status == 200 ? reply.m_body
+                                 : std::to_string(reply.m_status);
+  };
+  BOOST_REQUIRE(
+      Eventually([&] { return countOf(former) == R"({"pending":0})"; }));
+  RunningNode& successor = AddNode("n2");
+  RowStoreFaults faults;
+  faults.m_refusedServer = 1;
+  m_store.SetFaults(faults);
+  for (int at = 0; at < 6; ++at) {
+    BOOST_REQUIRE(
+        SubmitUntilAccepted(successor, fmt::format("{:016x}", 0xf100 + at)));
+  }
+  BOOST_TEST(countOf(successor) == R"({"pending":6})");
+  // The number may be 2 s old.
+  BOOST_TEST(Eventually([&] { return countOf(former) == "503"; }));
+  for (int at = 0; at < 5; ++at) BOOST_TEST(countOf(former) == "503");
+}
+
 /** Guards against two numbers of cells when all VMs start at once, and against
  *  VMs that wait for ever if the one that counts the runners ends. */
 BOOST_AUTO_TEST_CASE(LayoutIsDeterminedOnce) {
