sched: only a pause restarts the clock for stalled runs

The time without progress began anew with each order for full speed, so a run that hangs was never found while its pace goes up and down every second or two. At a lower pace a run makes progress, too; only a pause, or a pace that is not known, explains a standstill.

--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -152,8 +152,8 @@
   bool m_stopAnswered = false;
   std::string m_checkpoint;  ///< Empty: start from the beginning.
   int m_percent = 0;         ///< Progress that the runner reported.
-  /** When m_percent last rose, or full speed was last ordered or confirmed. A
-   *  run without progress counts as stalled only from then on. */
+  /** When m_percent last rose, or the run may last have been paused. Only since
+   *  then does a lack of progress show that the run has stalled. */
   TimePoint m_progressAt;
   /** Of a best-effort task: share of full speed that this owner last ordered,
    *  in percent; a run that this owner starts begins with kFullPace. Not set:
--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -217,8 +217,9 @@
 void OrderPace(Cell& aCell, RunnerIndex aIndex, const TaskKey& aKey,
                Task& aTask, int aPercent, TimePoint aNow) {
   if (IsPaceKept(aTask, aPercent)) return;
+  const bool mayBePaused = !aTask.m_pace || *aTask.m_pace == 0;
+  if (mayBePaused) aTask.m_progressAt = aNow;
   aTask.m_pace = aPercent;
-  if (aPercent == kFullPace) aTask.m_progressAt = aNow;
   ++aCell.m_counts.m_paces;
   aCell.m_orders.emplace_back(PaceOrder{aKey, aTask.m_run, aIndex, aPercent});
 }
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -325,13 +325,10 @@
 }
 
 void ApplyPaceAnswer(Cell& aCell, const PaceOrder& aOrder,
-                     OrderOutcome aOutcome, TimePoint aNow) {
+                     OrderOutcome aOutcome) {
+  if (aOutcome == OrderOutcome::Applied) return;
   const TaskPlace place = FindTask(aCell, aOrder.m_task);
   if (place.m_task == nullptr || place.m_task->m_run != aOrder.m_run) return;
-  if (aOutcome == OrderOutcome::Applied) {
-    if (aOrder.m_percent == kFullPace) place.m_task->m_progressAt = aNow;
-    return;
-  }
   place.m_task->m_pace.reset();
 }
 
--- a/src/core/sched/runner_cmd.h
+++ b/src/core/sched/runner_cmd.h
@@ -87,7 +87,7 @@
 /** If the order was not applied, the pace is not known any more, and is ordered
  *  again after the next report. */
 void ApplyPaceAnswer(Cell& aCell, const PaceOrder& aOrder,
-                     OrderOutcome aOutcome, TimePoint aNow);
+                     OrderOutcome aOutcome);
 
 /** Acknowledges the ends whose job version is durable. */
 void ReleaseStoredEnds(Cell& aCell, Runner& aRunner, TimePoint aNow);
--- a/src/scheduler/cell_owner_orders.cpp
+++ b/src/scheduler/cell_owner_orders.cpp
@@ -101,8 +101,7 @@
       TargetOf(aOrder.m_runner), aOrder,
       [self = shared_from_this(), aOrder](OrderAnswer aAnswer) {
         if (self->m_ended) return;
-        sched::ApplyPaceAnswer(self->m_cell, aOrder, aAnswer.m_outcome,
-                               BootNow());
+        sched::ApplyPaceAnswer(self->m_cell, aOrder, aAnswer.m_outcome);
       });
 }
 
--- a/tests/core/sched/interference_test.cpp
+++ b/tests/core/sched/interference_test.cpp
@@ -166,7 +166,7 @@
     BOOST_REQUIRE_EQUAL(paces.size(), 1U);
     BOOST_TEST(paces[0].m_percent == 100);
     // Until an order is answered, the run may work at any pace.
-    ApplyPaceAnswer(m_cell, paces[0], OrderOutcome::Unknown, m_now);
+    ApplyPaceAnswer(m_cell, paces[0], OrderOutcome::Unknown);
     AdvanceTime(milliseconds(400));
   }
   BOOST_TEST(m_cell.m_counts.m_quarantines == 0U);
@@ -178,8 +178,7 @@
   ReportProgress(40);
   const auto paces = Take<PaceOrder>();
   BOOST_REQUIRE_EQUAL(paces.size(), 1U);
-  AdvanceTime(milliseconds(100));
-  ApplyPaceAnswer(m_cell, paces[0], OrderOutcome::Applied, m_now);
+  ApplyPaceAnswer(m_cell, paces[0], OrderOutcome::Applied);
   AdvanceTime(m_cell.m_settings.m_stallTime);
   ReportProgress(40);
   BOOST_TEST(Take<StopOrder>().empty());
@@ -188,6 +187,26 @@
   BOOST_TEST(Take<StopOrder>().size() == 1U);
 }
 
+/** Guards against a stalled run that is not noticed as its pace is changed
+ *  again and again: at a lower pace it makes progress, too. */
+BOOST_FIXTURE_TEST_CASE(ChangesOfThePaceHideNoStall, CellFixture) {
+  const RunnerIndex runner = AddRunner("a");
+  JobSpec spec = Spec(1);
+  spec.m_steps[0].m_bestEffort = true;
+  Submit(std::move(spec));
+  StartAll();
+  for (int report = 0; report < 8; ++report) {
+    AdvanceTime(milliseconds(400));
+    TaskOf(1).m_pace = 50;
+    Report(runner, {{{JobId(1), 0, 0, 0}, RunNumber(1), "", 0, 0}}, {});
+  }
+  BOOST_REQUIRE((TaskOf(1).m_pace == 100));
+  AdvanceTime(milliseconds(400));
+  m_cell.m_orders.clear();
+  Report(runner, {{{JobId(1), 0, 0, 0}, RunNumber(1), "", 0, 0}}, {});
+  BOOST_TEST(Take<StopOrder>().size() == 1U);
+}
+
 /** Guards against a run that counts as stalled for the time in which it was
  *  paused. */
 BOOST_FIXTURE_TEST_CASE(PausedTimeIsNoStall, CellFixture) {
