sched: an order that its own owner overtook is repeated at once

Each start raises the token of its runner, so that earlier orders still under way are refused.

The same shape, one's own doing taken for the runner's: a start that this owner did not send, or overtook, paused the runner for 0.3 s like a refusal for want of room. Some 30 to 70 starts at once meet this when the list of runners is older than allowed for a moment.

And on a kept connection, a refusal for the token was taken for that of the start although it may be that of an earlier order; the start may then have been carried out while it was placed elsewhere.

OvertakenStopIsRepeatedAtOnce and OrderThatSaysNothingAboutTheRunnerDoesNotPauseIt fail without it. Not shown: that a start was ever carried out after such a refusal.

--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -215,6 +215,17 @@
 
 }  // namespace
 
+namespace {
+
+/** Whether a start that was not carried out tells something about the runner,
+ *  not only about the order or this owner. */
+bool IsAboutRunner(OrderOutcome aOutcome) {
+  return aOutcome != OrderOutcome::RefusedFence &&
+         aOutcome != OrderOutcome::Withdrawn;
+}
+
+}  // namespace
+
 void ApplyStartAnswer(Cell& aCell, const StartOrder& aOrder,
                       OrderOutcome aOutcome, std::optional<RunnerMillis> aClock,
                       TimePoint aNow) {
@@ -225,7 +236,8 @@
   if (place.m_task == nullptr) return;
   Task& task = *place.m_task;
   if (task.m_run != aOrder.m_run || task.m_phase != TaskPhase::Starting) return;
-  if (aOutcome != OrderOutcome::NotSent) {
+  if (aOutcome != OrderOutcome::NotSent &&
+      aOutcome != OrderOutcome::Withdrawn) {
     NoteAnswer(aCell.m_window, aNow - task.m_phaseSince, aNow);
   }
   Runner& runner = aCell.m_runners[aOrder.m_runner.Value()];
@@ -255,6 +267,7 @@
     case OrderOutcome::RefusedLate:
     case OrderOutcome::RefusedTicket:
     case OrderOutcome::WrongInstance:
+    case OrderOutcome::Withdrawn:
       break;
   }
   ++aCell.m_counts.m_rejectedStarts;
@@ -273,7 +286,9 @@
   }
   // A runner that refuses a start gets no tasks for a moment: until its next
   // report, its own view of its capacity may differ from this one.
-  runner.m_pausedUntil = aNow + kPauseAfterRefusal;
+  if (IsAboutRunner(aOutcome)) {
+    runner.m_pausedUntil = aNow + kPauseAfterRefusal;
+  }
   Requeue(aCell, aOrder.m_task, place, aNow);
 }
 
@@ -301,6 +316,15 @@
 
 }  // namespace
 
+namespace {
+
+/** A newer order of this owner has overtaken the stop, so the runner has done
+ *  nothing: it is repeated with the newest token as soon as runners are
+ *  advanced. Until the stop, the run holds room that others wait for. */
+void RepeatSoon(TimePoint& aStopOrderedAt) { aStopOrderedAt = TimePoint(); }
+
+}  // namespace
+
 void ApplyStopAnswer(Cell& aCell, const StopOrder& aOrder,
                      OrderOutcome aOutcome, TimePoint aNow) {
   SupersededRun* superseded = FindSupersededRun(
@@ -309,6 +333,9 @@
     superseded->m_stopAnswered = true;
     superseded->m_decidedAt = aNow;
   }
+  if (superseded != nullptr && aOutcome == OrderOutcome::RefusedFence) {
+    RepeatSoon(superseded->m_stopOrderedAt);
+  }
   const TaskPlace place = FindTask(aCell, aOrder.m_task);
   if (place.m_task == nullptr) return;
   Task& task = *place.m_task;
@@ -317,6 +344,9 @@
     EndInstance(aCell, aCell.m_runners[aOrder.m_runner.Value()], aNow);
     return;
   }
+  if (aOutcome == OrderOutcome::RefusedFence && !task.m_stopAnswered) {
+    RepeatSoon(task.m_stopOrderedAt);
+  }
   if (aOutcome != OrderOutcome::Applied) return;
   task.m_stopAnswered = true;
   // From this time on, a renewal whose report lacks the run proves that the run
--- a/src/core/sched/runner_cmd.h
+++ b/src/core/sched/runner_cmd.h
@@ -29,17 +29,30 @@
 /** Outcome of an order to a runner. */
 enum class OrderOutcome : uint8_t {
   Applied,
-  RefusedFence,  ///< The runner has seen a higher fencing token.
-  RefusedOld,    ///< The runner has stopped or ended this run or a later one.
-  RefusedLate,   ///< The deadline has passed on the runner's clock.
-  RefusedRoom,   ///< The task does not fit.
+  /** The runner has seen a higher fencing token, perhaps in a newer order of
+   *  the same owner that has overtaken this one. */
+  RefusedFence,
+  RefusedOld,   ///< The runner has stopped or ended this run or a later one.
+  RefusedLate,  ///< The deadline has passed on the runner's clock.
+  RefusedRoom,  ///< The task does not fit.
   RefusedTicket,
   RefusedOther,   ///< Refused for another reason; nothing was done.
   WrongInstance,  ///< Another instance of the runner answered.
   NotSent,        ///< No connection: nothing arrived.
   Unknown,        ///< No answer: the order may still be executed.
+  Withdrawn,      ///< The owner may not send it now; nothing arrived.
 };
 
+/** @return what is known of a start after an answer that shows no other owner.
+ *  @param aOnKeptConnection the refusal may be that of an earlier order of this
+ *         owner, so that the start may have been carried out. */
+[[nodiscard]] inline OrderOutcome OutcomeOfOwnStart(OrderOutcome aOutcome,
+                                                    bool aOnKeptConnection) {
+  const bool isUncertain =
+      aOutcome == OrderOutcome::RefusedFence && aOnKeptConnection;
+  return isUncertain ? OrderOutcome::Unknown : aOutcome;
+}
+
 /** Begins the term of an owner whose cell was restored from its rows.
  *  @param aEarlierLeasesEnd becomes Cell::m_earlierLeasesEnd. */
 void BeginTerm(Cell& aCell, TimePoint aEarlierLeasesEnd);
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -94,6 +94,7 @@
     case OrderOutcome::Applied:
     case OrderOutcome::NotSent:
     case OrderOutcome::Unknown:
+    case OrderOutcome::Withdrawn:
       return outcome;
   }
   return outcome;
--- a/src/scheduler/cell_owner_orders.cpp
+++ b/src/scheduler/cell_owner_orders.cpp
@@ -43,7 +43,7 @@
   // Checked right before each start: this VM may have been suspended for so
   // long that another daemon schedules the cell by now.
   if (!MayStart(now)) {
-    sched::ApplyStartAnswer(m_cell, aOrder, sched::OrderOutcome::NotSent, {},
+    sched::ApplyStartAnswer(m_cell, aOrder, sched::OrderOutcome::Withdrawn, {},
                             now);
     return;
   }
@@ -68,8 +68,11 @@
               sched::TaskText(aOrder.m_task), aOrder.m_run.Value(),
               aAnswer.m_error, OriginFields(aAnswer.m_origin));
         }
-        sched::ApplyStartAnswer(self->m_cell, aOrder, aAnswer.m_outcome,
-                                aAnswer.m_clock, BootNow());
+        sched::ApplyStartAnswer(
+            self->m_cell, aOrder,
+            sched::OutcomeOfOwnStart(aAnswer.m_outcome,
+                                     aAnswer.m_origin.m_earlierReplies > 0),
+            aAnswer.m_clock, BootNow());
         self->RequestPass();
       });
 }
--- a/tests/core/sched/cell_simulation.cpp
+++ b/tests/core/sched/cell_simulation.cpp
@@ -322,7 +322,7 @@
   for (const sched::Order& order : orders) {
     if (const auto* start = std::get_if<StartOrder>(&order)) {
       if (m_now - aOwner->m_lastCommitSentAt >= kAuthorityDuration) {
-        ApplyStartAnswer(aOwner->m_cell, *start, OrderOutcome::NotSent, {},
+        ApplyStartAnswer(aOwner->m_cell, *start, OrderOutcome::Withdrawn, {},
                          m_now);
         continue;
       }
