sched: one check for a quarantine, one look at waiting restarts

- Quarantine wrote the condition of QuarantinedRunners again: both call IsInQuarantine.
- The log line on restarts without a run looked for all of them a second time in each full search, also when no line was due: it takes the list that PlaceOverdueRestarts has, after the check of the interval.
The metric uses the same LongestWait.
- Three tests on paces share the set-up of one best-effort task.

--- a/src/core/sched/restart_cmd.cpp
+++ b/src/core/sched/restart_cmd.cpp
@@ -70,14 +70,26 @@
   return true;
 }
 
+Duration LongestWait(const Cell& aCell, const std::vector<TaskKey>& aWaiting,
+                     TimePoint aNow) {
+  Duration longest = Duration::zero();
+  for (const TaskKey& key : aWaiting) {
+    const Job& job = aCell.m_jobs.at(key.m_job);
+    const Task& task = job.m_occurrences.at(key.m_occurrence)
+                           .m_tasks[job.m_stepOffset[key.m_step] + key.m_index];
+    longest = std::max(longest, aNow - task.m_phaseSince);
+  }
+  return longest;
+}
+
 /** Logs how many restarts wait; one line a second. */
 void LogRestartWait(Cell& aCell, const std::vector<TaskKey>& aWaiting,
                     TimePoint aNow) {
   constexpr Duration kMinLoggedWait = seconds(1);
   constexpr Duration kLogInterval = seconds(1);
-  const Duration longest = LongestRestartWait(aCell, aNow);
-  if (longest < kMinLoggedWait) return;
   if (aNow - aCell.m_restartWaitLoggedAt < kLogInterval) return;
+  const Duration longest = LongestWait(aCell, aWaiting, aNow);
+  if (longest < kMinLoggedWait) return;
   aCell.m_restartWaitLoggedAt = aNow;
   LogDecision(aCell, fmt::format("long-running tasks without a run count={} "
                                  "longest_ms={} first={}",
@@ -88,14 +100,7 @@
 }  // namespace
 
 Duration LongestRestartWait(const Cell& aCell, TimePoint aNow) {
-  Duration longest = Duration::zero();
-  for (const TaskKey& key : WaitingRestarts(aCell)) {
-    const Job& job = aCell.m_jobs.at(key.m_job);
-    const Task& task = job.m_occurrences.at(key.m_occurrence)
-                           .m_tasks[job.m_stepOffset[key.m_step] + key.m_index];
-    longest = std::max(longest, aNow - task.m_phaseSince);
-  }
-  return longest;
+  return LongestWait(aCell, WaitingRestarts(aCell), aNow);
 }
 
 void PlaceOverdueRestarts(Cell& aCell, TimePoint aNow) {
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -44,20 +44,19 @@
   aRunner.m_slowness += kSlownessWeight * (ratio - aRunner.m_slowness);
 }
 
+bool IsInQuarantine(const Runner& aRunner, TimePoint aNow) {
+  return aRunner.m_quarantineCount > 0 && aRunner.m_quarantinedUntil > aNow;
+}
+
 size_t QuarantinedRunners(const Cell& aCell, TimePoint aNow) {
-  return static_cast<size_t>(
-      std::count_if(aCell.m_runners.begin(), aCell.m_runners.end(),
-                    [aNow](const Runner& aRunner) {
-                      return aRunner.m_quarantineCount > 0 &&
-                             aRunner.m_quarantinedUntil > aNow;
-                    }));
+  return static_cast<size_t>(std::count_if(
+      aCell.m_runners.begin(), aCell.m_runners.end(),
+      [aNow](const Runner& aRunner) { return IsInQuarantine(aRunner, aNow); }));
 }
 
 void Quarantine(Cell& aCell, Runner& aRunner, TimePoint aNow,
                 std::string_view aReason) {
-  const bool isInQuarantine =
-      aRunner.m_quarantineCount > 0 && aRunner.m_quarantinedUntil > aNow;
-  if (isInQuarantine) return;
+  if (IsInQuarantine(aRunner, aNow)) return;
   const auto limit =
       static_cast<size_t>(aCell.m_settings.m_maxQuarantineShare *
                           static_cast<double>(aCell.m_runners.size()));
--- a/tests/core/sched/interference_test.cpp
+++ b/tests/core/sched/interference_test.cpp
@@ -127,17 +127,14 @@
 
 namespace {
 
-/** A best-effort task that runs under an owner that did not start it. */
-struct RecoveredBestEffortTask : CellFixture {
-  RecoveredBestEffortTask() {
+/** A best-effort task that runs under the owner that started it. */
+struct BestEffortTask : CellFixture {
+  BestEffortTask() {
     m_runner = AddRunner("a");
     JobSpec spec = Spec(1);
     spec.m_steps[0].m_bestEffort = true;
     Submit(std::move(spec));
     StartAll();
-    const RunnerEntry entry = m_cell.m_runners[m_runner.Value()].m_entry;
-    TakeOver();
-    m_runner = UpdateRunner(m_cell, entry, m_now, m_unixNow);
   }
 
   void ReportProgress(int aPercent) {
@@ -148,6 +145,15 @@
   RunnerIndex m_runner;
 };
 
+/** A best-effort task that runs under an owner that did not start it. */
+struct RecoveredBestEffortTask : BestEffortTask {
+  RecoveredBestEffortTask() {
+    const RunnerEntry entry = m_cell.m_runners[m_runner.Value()].m_entry;
+    TakeOver();
+    m_runner = UpdateRunner(m_cell, entry, m_now, m_unixNow);
+  }
+};
+
 }  // namespace
 
 /** Guards against the pace that an earlier owner ordered, which its successor
@@ -189,42 +195,31 @@
 
 /** Guards against a stalled run that is not noticed as its pace is changed
  *  again and again: at a lower pace it makes progress, too. */
-BOOST_FIXTURE_TEST_CASE(ChangesOfThePaceHideNoStall, CellFixture) {
-  const RunnerIndex runner = AddRunner("a");
-  JobSpec spec = Spec(1);
-  spec.m_steps[0].m_bestEffort = true;
-  Submit(std::move(spec));
-  StartAll();
+BOOST_FIXTURE_TEST_CASE(ChangesOfThePaceHideNoStall, BestEffortTask) {
   for (int report = 0; report < 8; ++report) {
     AdvanceTime(milliseconds(400));
     TaskOf(1).m_pace = 50;
-    Report(runner, {{{JobId(1), 0, 0, 0}, RunNumber(1), "", 0, 0}}, {});
+    ReportProgress(0);
   }
   BOOST_REQUIRE((TaskOf(1).m_pace == 100));
   AdvanceTime(milliseconds(400));
   m_cell.m_orders.clear();
-  Report(runner, {{{JobId(1), 0, 0, 0}, RunNumber(1), "", 0, 0}}, {});
+  ReportProgress(0);
   BOOST_TEST(Take<StopOrder>().size() == 1U);
 }
 
 /** Guards against a run that counts as stalled for the time in which it was
  *  paused. */
-BOOST_FIXTURE_TEST_CASE(PausedTimeIsNoStall, CellFixture) {
-  const RunnerIndex runner = AddRunner("a");
-  JobSpec spec = Spec(1);
-  spec.m_steps[0].m_bestEffort = true;
-  Submit(std::move(spec));
-  StartAll();
+BOOST_FIXTURE_TEST_CASE(PausedTimeIsNoStall, BestEffortTask) {
   TaskOf(1).m_pace = 0;
   AdvanceTime(seconds(10));
-  const RunningRow row{{JobId(1), 0, 0, 0}, RunNumber(1), "", 0, 0};
   // No latency-critical task needs the pause any more.
-  Report(runner, {row}, {});
+  ReportProgress(0);
   const auto paces = Take<PaceOrder>();
   BOOST_REQUIRE_EQUAL(paces.size(), 1U);
   BOOST_TEST(paces[0].m_percent == 100);
   AdvanceTime(milliseconds(400));
-  Report(runner, {row}, {});
+  ReportProgress(0);
   BOOST_TEST(Take<StopOrder>().empty());
 }
 
