tests: one server with a fixed reply for the tests of three clients

runner_gateway_test, platform_client_test and table_client_test each had their own server, thread and lock to send one reply.

--- a/tests/daemon/runner_gateway_test.cpp
+++ b/tests/daemon/runner_gateway_test.cpp
@@ -9,10 +9,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
-#include <mutex>
 
 #include "daemon/clock.h"
-#include "net/http_server.h"
+#include "fixed_reply_server.h"
 
 namespace bronze {
 
@@ -23,46 +22,29 @@
 
 /** A runner that sends the same answer to each request. */
 struct Fixture {
-  Fixture() : m_address(m_server.Listen(kLoopback).value()) {}
-  ~Fixture() { m_threads.Stop(); }
-
   /** @return the end of an attempt whose answer has this status and names this
    *          request; empty: none. */
   AttemptEnd Attempt(int aStatus, std::optional<RequestId> aNamed) {
-    {
-      const std::lock_guard lock(m_mutex);
-      m_reply = {};
-      m_reply.m_status = aStatus;
-      if (aNamed) {
-        m_reply.m_headers = {
-            {"Bronze-Request-Id", fmt::format("{:016x}", aNamed->Value())}};
-      }
+    HttpReply reply;
+    reply.m_status = aStatus;
+    if (aNamed) {
+      reply.m_headers = {
+          {"Bronze-Request-Id", fmt::format("{:016x}", aNamed->Value())}};
     }
+    m_server.SetReply(std::move(reply));
     auto call = std::make_shared<CallerCall>();
     call->m_request = kRequest;
     call->m_kind = KindId("k");
-    m_gateway.Send(call, RunnerId("r1"), m_address, Now() + seconds(60));
+    m_gateway.Send(call, RunnerId("r1"), m_server.Address(),
+                   Now() + seconds(60));
     m_context.restart();
     m_context.run();
     return m_end;
   }
 
-  inline static const boost::asio::ip::tcp::endpoint kLoopback{
-      boost::asio::ip::address_v4::loopback(), 0};
-
-  std::mutex m_mutex;
-  HttpReply m_reply;
-  ThreadPool m_threads{1};
   Counters m_counters;
   boost::asio::io_context m_context;
-  HttpServer m_server{m_threads,
-                      {},
-                      m_counters,
-                      [this](size_t, const HttpCall&, auto aResponder) {
-                        const std::lock_guard lock(m_mutex);
-                        aResponder->Reply(m_reply);
-                      }};
-  boost::asio::ip::tcp::endpoint m_address;
+  FixedReplyServer m_server{m_counters};
   AttemptEnd m_end = AttemptEnd::Answered;
   RunnerGateway m_gateway{
       m_context, m_counters,
--- a/tests/scheduler/platform_client_test.cpp
+++ b/tests/scheduler/platform_client_test.cpp
@@ -5,9 +5,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
-#include <mutex>
 
-#include "net/http_server.h"
+#include "fixed_reply_server.h"
 #include "platform/runner_client.h"
 #include "platform/store_client.h"
 
@@ -21,14 +20,6 @@
 
 /** A server that sends the same reply to each call. */
 struct Fixture {
-  Fixture() : m_address(m_server.Listen(kLoopback).value()) {}
-  ~Fixture() { m_threads.Stop(); }
-
-  void SetReply(HttpReply aReply) {
-    const std::lock_guard lock(m_mutex);
-    m_reply = std::move(aReply);
-  }
-
   /** @return the answer to a start whose reply has this status and body. */
   OrderAnswer Start(int aStatus, std::string aBody) {
     HttpReply reply;
@@ -37,13 +28,13 @@
     return Start(std::move(reply));
   }
   OrderAnswer Start(HttpReply aReply) {
-    SetReply(std::move(aReply));
+    m_server.SetReply(std::move(aReply));
     // Each reply is the first on its connection, so that only its contents
     // decide.
     RunnerClient client(m_context);
     OrderAnswer answer;
-    client.Start({m_address.address().to_string() + ":" +
-                      std::to_string(m_address.port()),
+    client.Start({m_server.Address().address().to_string() + ":" +
+                      std::to_string(m_server.Address().port()),
                   RunnerId("r1"), FencingToken(1)},
                  {}, "{}", sched::RunnerMillis(1000), {},
                  [&](OrderAnswer aAnswer) {
@@ -60,8 +51,9 @@
     HttpReply reply;
     reply.m_status = aStatus;
     reply.m_body = std::move(aBody);
-    SetReply(std::move(reply));
-    StoreClient client(m_context, m_address, [] { return TimePoint(); });
+    m_server.SetReply(std::move(reply));
+    StoreClient client(m_context, m_server.Address(),
+                       [] { return TimePoint(); });
     StoreOutcome outcome = StoreOutcome::Done;
     client.Transact({}, aTimeout, [&](const TransactionResult& aResult) {
       outcome = aResult.m_outcome;
@@ -76,22 +68,9 @@
     m_context.run();
   }
 
-  inline static const boost::asio::ip::tcp::endpoint kLoopback{
-      boost::asio::ip::address_v4::loopback(), 0};
-
-  std::mutex m_mutex;
-  HttpReply m_reply;
-  ThreadPool m_threads{1};
   Counters m_counters;
   boost::asio::io_context m_context;
-  HttpServer m_server{m_threads,
-                      {},
-                      m_counters,
-                      [this](size_t, const HttpCall&, auto aResponder) {
-                        const std::lock_guard lock(m_mutex);
-                        aResponder->Reply(m_reply);
-                      }};
-  boost::asio::ip::tcp::endpoint m_address;
+  FixedReplyServer m_server{m_counters};
 };
 
 }  // namespace
--- a/tests/tableservice/table_client_test.cpp
+++ b/tests/tableservice/table_client_test.cpp
@@ -7,9 +7,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
-#include <mutex>
 
-#include "net/http_server.h"
+#include "fixed_reply_server.h"
 
 namespace bronze {
 
@@ -20,16 +19,12 @@
 
 /** A server that sends the same reply to each call. */
 struct Fixture {
-  Fixture() : m_address(m_server.Listen(kLoopback).value()) {}
-  ~Fixture() { m_threads.Stop(); }
-
   /** @return the outcome of a commit whose reply has this status and body. */
   CommitOutcome Commit(int aStatus, std::string aBody) {
-    {
-      const std::lock_guard lock(m_mutex);
-      m_reply.m_status = aStatus;
-      m_reply.m_body = std::move(aBody);
-    }
+    HttpReply reply;
+    reply.m_status = aStatus;
+    reply.m_body = std::move(aBody);
+    m_server.SetReply(std::move(reply));
     CommitOutcome outcome = CommitOutcome::Committed;
     m_client.Commit({}, kTimeout, [&](const CommitReply& aReply) {
       outcome = aReply.m_outcome;
@@ -40,24 +35,11 @@
     return outcome;
   }
 
-  inline static const boost::asio::ip::tcp::endpoint kLoopback{
-      boost::asio::ip::address_v4::loopback(), 0};
-
-  std::mutex m_mutex;
-  HttpReply m_reply;
-  ThreadPool m_threads{1};
   Counters m_counters;
   boost::asio::io_context m_context;
-  HttpServer m_server{m_threads,
-                      {},
-                      m_counters,
-                      [this](size_t, const HttpCall&, auto aResponder) {
-                        const std::lock_guard lock(m_mutex);
-                        aResponder->Reply(m_reply);
-                      }};
-  boost::asio::ip::tcp::endpoint m_address;
+  FixedReplyServer m_server{m_counters};
   HttpClient m_http{m_context, {1, kMaxAnswer}};
-  TableClient m_client{m_http, m_address, m_counters};
+  TableClient m_client{m_http, m_server.Address(), m_counters};
 };
 
 constexpr char kCommitted[] = R"({"committed": true, "version": 3})";
