--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <optional>
 #include <random>
+#include <sstream>
 
 #include "platform.h"
 
@@ -26,6 +27,14 @@
 inline constexpr int kBroken = 1;
 inline constexpr int kCouldNotRun = 2;
 
+/** @return the parts as one text. */
+template <class... Parts>
+std::string Text(const Parts&... aParts) {
+  std::ostringstream text;
+  (text << ... << aParts);
+  return text.str();
+}
+
 /** Lines with the time since the start of the case. */
 class Record {
  public:
@@ -55,6 +64,17 @@
   int64_t m_begin;
 };
 
+/** Processes that the case has started; 0: none. A case that is told to end
+ *  ends them first. */
+inline std::atomic<pid_t> startedProcesses[16];
+
+inline void OnEnd(int /*aSignal*/) {
+  for (const auto& process : startedProcesses) {
+    if (process != 0) kill(process, SIGKILL);
+  }
+  _exit(kCouldNotRun);
+}
+
 /** A route of the configuration. */
 struct Route {
   std::string m_name;
@@ -94,10 +114,10 @@
     for (size_t at = 0; at < aRunners; ++at) {
       char id[32];
       std::snprintf(id, sizeof id, "i-%08zx", 0x7f3a91c2 + at);
-      m_runners.push_back(std::make_unique<Runner>(
-          m_store, m_runs, id, kService, Zone(at), "a",
-          "r1-" + std::to_string(at / kRunnersPerRack), aMillicores,
-          aMemoryMb));
+      m_runners.push_back(
+          std::make_unique<Runner>(m_store, m_runs, id, kService, Zone(at), "a",
+                                   "r1-" + std::to_string(at / kRunnersPerRack),
+                                   aMillicores, aMemoryMb));
       m_runners.back()->Start(m_net + "2");
     }
     m_record.Line("platform started runners=" + std::to_string(aRunners));
@@ -175,6 +195,7 @@
       aNode.m_process = 0;
     }
     posix_spawn_file_actions_destroy(&actions);
+    startedProcesses[&aNode - m_nodes.data()] = aNode.m_process;
     m_record.Line("process started node=" + aNode.m_name);
   }
 
@@ -182,6 +203,7 @@
     if (aNode.m_process == 0) return;
     kill(aNode.m_process, aSignal);
     waitpid(aNode.m_process, nullptr, 0);
+    startedProcesses[&aNode - m_nodes.data()] = 0;
     aNode.m_process = 0;
     m_record.Line("process ended node=" + aNode.m_name +
                   " signal=" + std::to_string(aSignal));
@@ -235,8 +257,7 @@
     constexpr int64_t kPauseMs = 1000;
     for (int attempt = 0; attempt < kTries; ++attempt) {
       const Node& node = m_nodes[m_turn++ % m_nodes.size()];
-      const Reply reply =
-          ClientCall(node, "POST", aRoute, aId, aJob.dump());
+      const Reply reply = ClientCall(node, "POST", aRoute, aId, aJob.dump());
       if (attempt > 0 || reply.m_status != 200) {
         m_record.Line("POST " + aId + " -> " + std::to_string(reply.m_status) +
                       " node=" + node.m_name);
@@ -338,6 +359,8 @@
 [[noreturn]] void RunCase(int aCount, char** aArguments, Play aPlay) {
   constexpr int kArguments = 3;
   if (aCount != kArguments) _exit(kCouldNotRun);
+  signal(SIGTERM, OnEnd);
+  signal(SIGINT, OnEnd);
   auto* const record = new Record(aArguments[1]);
   // Its stand-ins are in use until the process ends.
   auto* const deployment = new Deployment(*record, aArguments[2]);
--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -241,8 +241,7 @@
     std::string buffer;
     std::string first;
     std::map<std::string, std::string> headers;
-    if (detail::ReadMessage(connection, buffer, first, headers,
-                            reply.m_body) &&
+    if (detail::ReadMessage(connection, buffer, first, headers, reply.m_body) &&
         first.size() > 12) {
       reply.m_status = std::atoi(first.c_str() + 9);
     }
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -97,8 +97,8 @@
                                 : 0U);
       }
       for (size_t i = 0; i < 4; ++i) {
-        text += at + i > aBytes.size() ? '='
-                                       : kDigits[bits >> (18 - 6 * i) & 63U];
+        text +=
+            at + i > aBytes.size() ? '=' : kDigits[bits >> (18 - 6 * i) & 63U];
       }
     }
     return text;
@@ -345,10 +345,10 @@
         m_bornAt(SteadyMillis()) {}
 
   void Start(const std::string& aIp) {
-    m_address = aIp + ":" + std::to_string(Serve(
-                                aIp, [this](const Request& aCall) {
-                                  return Handle(aCall);
-                                }));
+    m_address =
+        aIp + ":" + std::to_string(Serve(aIp, [this](const Request& aCall) {
+          return Handle(aCall);
+        }));
     std::thread([this] {
       for (int64_t next = 0;; SleepMillis(5)) {
         {
@@ -384,21 +384,20 @@
   int64_t Clock() const { return SteadyMillis() - m_bornAt; }
 
   void Report() {
-    const Json entry = {{"service", m_service},
-                        {"address", m_address},
-                        {"zone", m_zone},
-                        {"version", "v1"},
-                        {"slots", 8},
-                        {"state", "ready"},
-                        {"cold_left_ms", 0},
-                        {"capacity",
-                         {{"cpu", m_millicores},
-                          {"mem_mb", m_memoryMb},
-                          {"gpu", 0}}},
-                        {"labels", {m_kind, m_rack}},
-                        {"clock_ms", Clock()},
-                        {"born", m_born},
-                        {"sequence", ++m_sequence}};
+    const Json entry = {
+        {"service", m_service},
+        {"address", m_address},
+        {"zone", m_zone},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", "ready"},
+        {"cold_left_ms", 0},
+        {"capacity",
+         {{"cpu", m_millicores}, {"mem_mb", m_memoryMb}, {"gpu", 0}}},
+        {"labels", {m_kind, m_rack}},
+        {"clock_ms", Clock()},
+        {"born", m_born},
+        {"sequence", ++m_sequence}};
     m_store.Put("servers", m_id, entry.dump());
   }
 
@@ -411,8 +410,8 @@
     if (!aRun.m_saves) return "";
     const int64_t done = DoneMs(aRun);
     const int64_t saved =
-        aAtStop ? done : std::max(aRun.m_doneBefore,
-                                  done - done % kCheckpointMs);
+        aAtStop ? done
+                : std::max(aRun.m_doneBefore, done - done % kCheckpointMs);
     if (saved <= 0) return "";
     char text[32];
     std::snprintf(text, sizeof text, "%08llx7a21d94b",
@@ -498,9 +497,9 @@
     for (const auto& [task, run] : m_running) {
       const int64_t percent =
           std::min<int64_t>(99, DoneMs(run) * 100 / run.m_workMs);
-      running.push_back(Json::array({task, run.m_number,
-                                     CheckpointOf(run, false), percent,
-                                     run.m_millicores}));
+      running.push_back(
+          Json::array({task, run.m_number, CheckpointOf(run, false), percent,
+                       run.m_millicores}));
     }
     Json finished = Json::array();
     for (const Json& end : m_ends) {
@@ -533,14 +532,13 @@
     const std::string checkpoint = aBody.value("checkpoint", "");
     run.m_beginsAt = SteadyMillis();
     if (!checkpoint.empty()) {
-      run.m_doneBefore = std::strtoll(checkpoint.substr(0, 8).c_str(),
-                                      nullptr, 16);
+      run.m_doneBefore =
+          std::strtoll(checkpoint.substr(0, 8).c_str(), nullptr, 16);
       run.m_beginsAt += kRestoreMs;
     }
     m_usedMillicores += run.m_millicores;
     m_usedMemoryMb += run.m_memoryMb;
-    run.m_record =
-        m_log.Add({m_id, task, number, SteadyMillis(), 0, ""});
+    run.m_record = m_log.Add({m_id, task, number, SteadyMillis(), 0, ""});
     m_running[task] = run;
     return Answer(200, Json::object());
   }
