--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -19,14 +19,14 @@
 constexpr int64_t kMemoryMb = 256000;
 constexpr size_t kNodes = 3;
 /** Jobs of the first minute, and those that come one a second after it. */
-constexpr int kBurstJobs = 1600;
+constexpr int kBurstJobs = 1400;
 constexpr int kLateJobs = 12;
 constexpr int kJobs = kBurstJobs + kLateJobs;
 constexpr int64_t kQuietMs = 5000;
 constexpr int kJobsPerSecond = 26;
 constexpr int kClients = 13;
 constexpr int kPoisonEach = 20;
-constexpr int kSteps = 5;
+constexpr int kSteps = 4;
 /** More than any runner has. */
 constexpr int64_t kPoisonMillicores = 70000;
 constexpr int64_t kMillicoresPerTask = 4600;
@@ -82,6 +82,7 @@
   std::vector<char> accepted(kJobs, 0);
   const int64_t begin = SteadyMillis();
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int client = 0; client < kClients; ++client) {
     clients.emplace_back([&, client] {
       for (int job = client; job < kJobs; job += kClients) {
@@ -98,8 +99,7 @@
     if (accepted[job] == 0) continue;
     ++(IsPoison(job) ? poison : ordinary);
   }
-  aRecord.Line("accepted ordinary=" + std::to_string(ordinary) +
-               " poison=" + std::to_string(poison));
+  aRecord.Line(Text("accepted ordinary=", ordinary, " poison=", poison));
   if (ordinary < kJobs / 2) return kCouldNotRun;
 
   // The rule asks for the jobs kFinishMs after the end of the traffic, and for
@@ -127,16 +127,14 @@
     if (++idle <= 20) {
       const std::string state = aDeployment.StateOf(route, id);
       ++states[state];
-      aRecord.Line("job " + id + " accepted, tasks done " +
-                   std::to_string(done[id].size()) + " of " +
-                   std::to_string(kSteps) +
-                   ", nothing of it has run for 3 s; GET -> " + state);
+      aRecord.Line(Text("job ", id, " accepted, tasks done ", done[id].size(),
+                        " of ", kSteps,
+                        ", nothing of it has run for 3 s; GET -> ", state));
     }
   }
-  aRecord.Line("ordinary jobs that could run and did not: " +
-               std::to_string(idle) + " of " + std::to_string(ordinary) +
-               "; cores in use at most " +
-               std::to_string(static_cast<int>(mostUsed * 100.0)) + " %");
+  aRecord.Line(Text("ordinary jobs that could run and did not: ", idle, " of ",
+                    ordinary, "; cores in use at most ",
+                    static_cast<int>(mostUsed * 100.0), " %"));
   return idle > 0 && mostUsed < 0.5 ? kBroken : kHeld;
 }
 
