--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,13 +1,12 @@
 /**
- * @file case.cpp Ordinary jobs behind jobs that can never be done.
+ * @file case.cpp A task that always fails, after some runners refused it.
  *
- * Clients hand in 26 short jobs a second. With the disruption, every twentieth
- * job needs more cores than any runner has. The case fails if accepted ordinary
- * jobs are not run although nearly all cores are free.
+ * Most runners are in use. With the disruption, the others answer all starts
+ * with 503 for 6 s. Meanwhile a client hands in a job whose task fails each
+ * time. The case fails if the task is started again after it has failed as
+ * often as the queue allows.
  */
 
-#include <set>
-
 #include "../standin-2/deployment.h"
 
 namespace {
@@ -18,58 +17,25 @@
 constexpr int64_t kMillicores = 64000;
 constexpr int64_t kMemoryMb = 256000;
 constexpr size_t kNodes = 3;
-/** Jobs of the first minute, and those that come one a second after it. */
-constexpr int kBurstJobs = 1400;
-constexpr int kLateJobs = 12;
-constexpr int kJobs = kBurstJobs + kLateJobs;
-constexpr int64_t kQuietMs = 5000;
-constexpr int kJobsPerSecond = 26;
-constexpr int kClients = 13;
-constexpr int kPoisonEach = 20;
-constexpr int kSteps = 4;
-/** More than any runner has. */
-constexpr int64_t kPoisonMillicores = 70000;
-constexpr int64_t kMillicoresPerTask = 4600;
-constexpr int64_t kMemoryPerTask = 4600;
-constexpr int64_t kTaskMs = 400;
-constexpr int64_t kFinishMs = 14000;
-constexpr int64_t kIdleMs = 3000;
-
-bool IsPoison(int aJob) {
-  return HasTrouble() && aJob < kBurstJobs && aJob % kPoisonEach == 0;
-}
-
-/** @return when the job is handed in, from the begin of the traffic. */
-int64_t TimeOf(int aJob) {
-  if (aJob < kBurstJobs) return aJob * 1000L / kJobsPerSecond;
-  return kBurstJobs * 1000L / kJobsPerSecond + kQuietMs +
-         (aJob - kBurstJobs) * 1000L;
-}
-
-Json JobOf(int aJob) {
-  const int64_t cores = IsPoison(aJob) ? kPoisonMillicores : kMillicoresPerTask;
-  const Json spec = {
-      {"ms", kTaskMs}, {"cpu", cores}, {"mem_mb", kMemoryPerTask}};
-  Json steps = Json::array();
-  for (int step = 0; step < kSteps; ++step) {
-    steps.push_back({{"count", 1},
-                     {"cpu", cores},
-                     {"mem_mb", kMemoryPerTask},
-                     {"estimate_ms", kTaskMs},
-                     {"anti_affinity", 1}});
-  }
-  return {{"spec", spec.dump()}, {"steps", steps}};
-}
+/** Runners that are unhealthy for a while: a tenth. */
+constexpr size_t kUnhealthy = 5;
+constexpr int64_t kUnhealthyMs = 6000;
+constexpr int64_t kBusyMs = 90000;
+constexpr int64_t kTaskMillicores = 4600;
+constexpr int64_t kTaskMs = 300;
+constexpr int64_t kAfterMs = 30000;
 
-/** Ids of the jobs that have a run that goes on, or went on since aSince. */
-std::set<std::string> AtWorkSince(Deployment& aDeployment, int64_t aSince) {
-  std::set<std::string> jobs;
-  for (const RunRecord& run : aDeployment.Runs().All()) {
-    if (run.m_endedAt == 0 || run.m_endedAt >= aSince) {
-      jobs.insert(run.m_task.substr(0, 16));
-    }
-  }
-  return jobs;
+Json JobOf(size_t aTasks, int64_t aMillicores, int64_t aMs, bool aFails) {
+  const Json spec = {{"ms", aMs},
+                     {"cpu", aMillicores},
+                     {"mem_mb", aMillicores},
+                     {"fails", aFails}};
+  return {{"spec", spec.dump()},
+          {"steps",
+           {{{"count", aTasks},
+             {"cpu", aMillicores},
+             {"mem_mb", aMillicores},
+             {"estimate_ms", aMs}}}}};
 }
 
 int Play(Deployment& aDeployment, Record& aRecord) {
@@ -79,63 +45,51 @@
   if (!aDeployment.StartNodes(kNodes)) return kCouldNotRun;
   SleepMillis(5000);
 
-  std::vector<char> accepted(kJobs, 0);
-  const int64_t begin = SteadyMillis();
-  std::vector<std::thread> clients;
-  clients.reserve(kClients);
-  for (int client = 0; client < kClients; ++client) {
-    clients.emplace_back([&, client] {
-      for (int job = client; job < kJobs; job += kClients) {
-        SleepMillis(begin + TimeOf(job) - SteadyMillis());
-        accepted[job] =
-            aDeployment.Submit(route, JobIdOf(job), JobOf(job)) ? 1 : 0;
-      }
-    });
-  }
-  for (std::thread& client : clients) client.join();
-  int poison = 0;
-  int ordinary = 0;
-  for (int job = 0; job < kJobs; ++job) {
-    if (accepted[job] == 0) continue;
-    ++(IsPoison(job) ? poison : ordinary);
+  const std::string busy = JobIdOf(1);
+  const Json work = JobOf(kRunners - kUnhealthy, kMillicores, kBusyMs, false);
+  if (!aDeployment.Submit(route, busy, work)) return kCouldNotRun;
+  SleepMillis(3000);
+  std::vector<Runner*> idle;
+  for (const auto& runner : aDeployment.Runners()) {
+    if (runner->UsedMillicores() == 0) idle.push_back(runner.get());
   }
-  aRecord.Line(Text("accepted ordinary=", ordinary, " poison=", poison));
-  if (ordinary < kJobs / 2) return kCouldNotRun;
+  if (idle.size() != kUnhealthy) return kCouldNotRun;
 
-  // The rule asks for the jobs kFinishMs after the end of the traffic, and for
-  // kIdleMs in which they could run and do not.
-  SleepMillis(kFinishMs);
-  const int64_t since = SteadyMillis();
-  double mostUsed = 0.0;
-  while (SteadyMillis() - since < kIdleMs) {
-    mostUsed = std::max(mostUsed, aDeployment.UsedShare());
-    SleepMillis(50);
+  if (HasTrouble()) {
+    for (Runner* runner : idle) runner->m_refusesStarts = true;
+    aRecord.Line(Text("unhealthy runners ", idle.size(), " of ", kRunners));
   }
-  std::map<std::string, std::set<std::string>> done;
-  for (const RunRecord& run : aDeployment.Runs().All()) {
-    if (run.m_how == "done") done[run.m_task.substr(0, 16)].insert(run.m_task);
+  const std::string failing = JobIdOf(2);
+  const Json job = JobOf(1, kTaskMillicores, kTaskMs, true);
+  if (!aDeployment.Submit(route, failing, job)) return kCouldNotRun;
+  aRecord.Line(Text("job ", failing, " accepted, its task fails each time"));
+  SleepMillis(kUnhealthyMs);
+  int refused = 0;
+  for (Runner* runner : idle) {
+    runner->m_refusesStarts = false;
+    refused += runner->RefusedStarts();
   }
-  const std::set<std::string> atWork = AtWorkSince(aDeployment, since);
-  int idle = 0;
-  std::map<std::string, int> states;
-  for (int job = 0; job < kJobs; ++job) {
-    const std::string id = JobIdOf(job);
-    if (accepted[job] == 0 || IsPoison(job) || atWork.count(id) > 0 ||
-        done[id].size() == static_cast<size_t>(kSteps)) {
-      continue;
-    }
-    if (++idle <= 20) {
-      const std::string state = aDeployment.StateOf(route, id);
-      ++states[state];
-      aRecord.Line(Text("job ", id, " accepted, tasks done ", done[id].size(),
-                        " of ", kSteps,
-                        ", nothing of it has run for 3 s; GET -> ", state));
-    }
+  aRecord.Line(Text("all runners are healthy; starts refused: ", refused));
+  SleepMillis(kAfterMs);
+
+  int failed = 0;
+  int startedAfter = 0;
+  for (const RunRecord& run : aDeployment.Runs().All()) {
+    if (run.m_task.compare(0, failing.size(), failing) != 0) continue;
+    if (failed >= kMaxAttempts) ++startedAfter;
+    aRecord.Line(Text("run ", run.m_run, " of ", run.m_task, " on ",
+                      run.m_runner, " began at ",
+                      aRecord.SecondsAt(run.m_startedAt), " s: ", run.m_how));
+    if (run.m_how == "failed") ++failed;
   }
-  aRecord.Line(Text("ordinary jobs that could run and did not: ", idle, " of ",
-                    ordinary, "; cores in use at most ",
-                    static_cast<int>(mostUsed * 100.0), " %"));
-  return idle > 0 && mostUsed < 0.5 ? kBroken : kHeld;
+  size_t listed = 0;
+  for (Runner* runner : idle) listed += runner->ListedEnds();
+  aRecord.Line(Text("ends that were not taken note of: ", listed));
+  aRecord.Line(
+      Text("GET ", failing, " -> ", aDeployment.StateOf(route, failing)));
+  aRecord.Line(Text("runs that failed: ", failed, ", allowed: ", kMaxAttempts,
+                    "; starts after these: ", startedAfter));
+  return startedAfter > static_cast<int>(listed) ? kBroken : kHeld;
 }
 
 }  // namespace
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -75,6 +75,9 @@
   _exit(kCouldNotRun);
 }
 
+/** Attempts that each task has, by the configuration. */
+inline constexpr int kMaxAttempts = 3;
+
 /** A route of the configuration. */
 struct Route {
   std::string m_name;
@@ -134,7 +137,7 @@
                         {"target_latency_ms", 1000},
                         {"priority", route.m_priority},
                         {"service", kService},
-                        {"max_attempts", 3},
+                        {"max_attempts", kMaxAttempts},
                         {"stretch", 2.0}});
     }
     const Json config = {
@@ -281,6 +284,7 @@
   Store& TheStore() { return m_store; }
   RunLog& Runs() { return m_runs; }
   std::vector<Node>& Nodes() { return m_nodes; }
+  std::vector<std::unique_ptr<Runner>>& Runners() { return m_runners; }
 
   /** @return the share of all cores that is in use. */
   double UsedShare() {
@@ -370,12 +374,15 @@
   _exit(result);
 }
 
-/** @return whether the case runs with its disruption. */
-inline bool HasTrouble() {
-  const char* trouble = std::getenv("TROUBLE");
-  return trouble == nullptr || std::string(trouble) != "0";
+/** @return whether the variable is not 0. */
+inline bool IsOn(const char* aVariable) {
+  const char* const text = std::getenv(aVariable);
+  return text == nullptr || std::string(text) != "0";
 }
 
+/** @return whether the case runs with its disruption. */
+inline bool HasTrouble() { return IsOn("TROUBLE"); }
+
 }  // namespace review
 
 #endif  // REVIEW_STANDIN_DEPLOYMENT_H_
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -326,7 +326,8 @@
 };
 
 /** One runner. The text `spec` of a job is what the clients and the runners of
- *  this deployment agreed on: {"ms":work,"cpu":…,"mem_mb":…,"saves":bool}. */
+ *  this deployment agreed on: {"ms":work,"cpu":…,"mem_mb":…,"saves":bool,
+ *  "fails":bool}. A task that fails does so at the end of its work. */
 class Runner {
  public:
   Runner(Store& aStore, RunLog& aLog, std::string aId, std::string aService,
@@ -362,12 +363,21 @@
     }).detach();
   }
 
+  /** Answers starts with 503, as an unhealthy runner does. */
+  std::atomic<bool> m_refusesStarts = false;
+
   /** Runs that go on, of any task. */
   int64_t UsedMillicores() {
     const std::lock_guard<std::mutex> lock(m_mutex);
     return m_usedMillicores;
   }
   [[nodiscard]] int64_t Millicores() const { return m_millicores; }
+  [[nodiscard]] int RefusedStarts() const { return m_refusedStarts; }
+  /** Ends that no caller has taken note of yet. */
+  size_t ListedEnds() {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_ends.size();
+  }
 
  private:
   struct Run {
@@ -378,6 +388,7 @@
     int64_t m_millicores = 0;
     int64_t m_memoryMb = 0;
     bool m_saves = false;
+    bool m_fails = false;
     size_t m_record = 0;
   };
 
@@ -440,7 +451,7 @@
     std::vector<std::pair<std::string, std::string>> ends;
     for (const auto& [task, run] : m_running) {
       if (DoneMs(run) >= run.m_workMs) {
-        ends.emplace_back(task, "done");
+        ends.emplace_back(task, run.m_fails ? "failed" : "done");
       } else if (clock > m_deadline) {
         ends.emplace_back(task, "lapsed");
       }
@@ -510,6 +521,10 @@
   }
 
   Reply StartRun(const Json& aBody) {
+    if (m_refusesStarts) {
+      ++m_refusedStarts;
+      return Answer(503, Json::object());
+    }
     const std::string task = aBody.at("task");
     const auto number = aBody.at("run").get<uint64_t>();
     const auto running = m_running.find(task);
@@ -525,6 +540,7 @@
     run.m_millicores = spec.at("cpu");
     run.m_memoryMb = spec.at("mem_mb");
     run.m_saves = spec.value("saves", false);
+    run.m_fails = spec.value("fails", false);
     if (m_usedMillicores + run.m_millicores > m_millicores ||
         m_usedMemoryMb + run.m_memoryMb > m_memoryMb) {
       return Refuse("room");
@@ -568,6 +584,7 @@
   const int64_t m_bornAt;
   std::string m_address;
   uint64_t m_sequence = 0;
+  std::atomic<int> m_refusedStarts = 0;
   std::mutex m_mutex;  ///< Guards all below.
   std::condition_variable m_ended;
   uint64_t m_fence = 0;
