--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,10 +1,10 @@
 /**
- * @file case.cpp The owner's process is killed while the store is slow.
+ * @file case.cpp A task that always fails, after some runners refused it.
  *
- * Clients hand in short jobs, which stay known for 150 s, and a few long ones.
- * With the disruption, the store's answers take 60 times as long, and the
- * process that schedules is killed once. The case fails if accepted jobs have
- * nothing running long after that, although nearly all cores are free.
+ * Most runners are in use. With the disruption, the others answer all starts
+ * with 503 for 6 s. Meanwhile a client hands in a job whose task fails each
+ * time. The case fails if the task is started again after it has failed as
+ * often as the queue allows.
  */
 
 #include "../standin-2/deployment.h"
@@ -17,33 +17,25 @@
 constexpr int64_t kMillicores = 64000;
 constexpr int64_t kMemoryMb = 256000;
 constexpr size_t kNodes = 3;
-constexpr int kShortJobs = 4500;
-constexpr int kJobsPerSecond = 150;
-constexpr int kClients = 30;
-constexpr int kLongJobs = 20;
+/** Runners that are unhealthy for a while: a tenth. */
+constexpr size_t kUnhealthy = 5;
+constexpr int64_t kUnhealthyMs = 6000;
+constexpr int64_t kBusyMs = 90000;
 constexpr int64_t kTaskMillicores = 4600;
-constexpr int64_t kShortMs = 100;
-/** Steps of a long job, which follow each other. */
-constexpr int kLongSteps = 2;
-constexpr int64_t kLongMs = 20000;
-constexpr int kSlowness = 60;
-constexpr int64_t kSlowBeforeKillMs = 2000;
-/** From the kill to the check; recovery_s is 12 and finish_s is 14. */
-constexpr int64_t kAfterMs = 45000;
-constexpr int64_t kIdleMs = 3000;
+constexpr int64_t kTaskMs = 300;
+constexpr int64_t kAfterMs = 30000;
 
-Json JobOf(int aSteps, int64_t aMs) {
-  const Json spec = {
-      {"ms", aMs}, {"cpu", kTaskMillicores}, {"mem_mb", kTaskMillicores}};
-  Json steps = Json::array();
-  for (int step = 0; step < aSteps; ++step) {
-    steps.push_back({{"count", 1},
-                     {"cpu", kTaskMillicores},
-                     {"mem_mb", kTaskMillicores},
-                     {"estimate_ms", aMs}});
-    if (step > 0) steps.back()["after"] = Json::array({step - 1});
-  }
-  return {{"spec", spec.dump()}, {"steps", steps}};
+Json JobOf(size_t aTasks, int64_t aMillicores, int64_t aMs, bool aFails) {
+  const Json spec = {{"ms", aMs},
+                     {"cpu", aMillicores},
+                     {"mem_mb", aMillicores},
+                     {"fails", aFails}};
+  return {{"spec", spec.dump()},
+          {"steps",
+           {{{"count", aTasks},
+             {"cpu", aMillicores},
+             {"mem_mb", aMillicores},
+             {"estimate_ms", aMs}}}}};
 }
 
 int Play(Deployment& aDeployment, Record& aRecord) {
@@ -53,74 +45,51 @@
   if (!aDeployment.StartNodes(kNodes)) return kCouldNotRun;
   SleepMillis(5000);
 
-  std::atomic<int> accepted = 0;
-  const int64_t begin = SteadyMillis();
-  std::vector<std::thread> clients;
-  clients.reserve(kClients);
-  for (int client = 0; client < kClients; ++client) {
-    clients.emplace_back([&, client] {
-      for (int job = client; job < kShortJobs; job += kClients) {
-        SleepMillis(begin + job * 1000L / kJobsPerSecond - SteadyMillis());
-        if (aDeployment.Submit(route, JobIdOf(job), JobOf(1, kShortMs))) {
-          ++accepted;
-        }
-      }
-    });
-  }
-  for (std::thread& client : clients) client.join();
-  std::vector<std::string> longJobs;
-  for (int job = 0; job < kLongJobs; ++job) {
-    const std::string id = JobIdOf(100000 + job);
-    if (aDeployment.Submit(route, id, JobOf(kLongSteps, kLongMs))) {
-      longJobs.push_back(id);
-    }
+  const std::string busy = JobIdOf(1);
+  const Json work = JobOf(kRunners - kUnhealthy, kMillicores, kBusyMs, false);
+  if (!aDeployment.Submit(route, busy, work)) return kCouldNotRun;
+  SleepMillis(3000);
+  std::vector<Runner*> idle;
+  for (const auto& runner : aDeployment.Runners()) {
+    if (runner->UsedMillicores() == 0) idle.push_back(runner.get());
   }
-  aRecord.Line(Text("accepted short=", accepted, " long=", longJobs.size()));
-  if (accepted < kShortJobs / 2 || longJobs.empty()) return kCouldNotRun;
-  SleepMillis(1000);
+  if (idle.size() != kUnhealthy) return kCouldNotRun;
+
   if (HasTrouble()) {
-    // SLOW=0 shows what the kill does alone.
-    if (IsOn("SLOW")) {
-      aDeployment.TheStore().m_slowness = kSlowness;
-      aRecord.Line("the store is slow");
-    }
-    SleepMillis(kSlowBeforeKillMs);
-    // KILL=0 shows what the slow store does alone.
-    if (IsOn("KILL")) {
-      Node* const owner = aDeployment.Owner();
-      if (owner == nullptr) return kCouldNotRun;
-      aDeployment.End(*owner, SIGKILL);
-      SleepMillis(500);
-      aDeployment.Begin(*owner);
-    }
+    for (Runner* runner : idle) runner->m_refusesStarts = true;
+    aRecord.Line(Text("unhealthy runners ", idle.size(), " of ", kRunners));
   }
+  const std::string failing = JobIdOf(2);
+  const Json job = JobOf(1, kTaskMillicores, kTaskMs, true);
+  if (!aDeployment.Submit(route, failing, job)) return kCouldNotRun;
+  aRecord.Line(Text("job ", failing, " accepted, its task fails each time"));
+  SleepMillis(kUnhealthyMs);
+  int refused = 0;
+  for (Runner* runner : idle) {
+    runner->m_refusesStarts = false;
+    refused += runner->RefusedStarts();
+  }
+  aRecord.Line(Text("all runners are healthy; starts refused: ", refused));
   SleepMillis(kAfterMs);
 
-  const int64_t since = SteadyMillis();
-  double mostUsed = 0.0;
-  while (SteadyMillis() - since < kIdleMs) {
-    mostUsed = std::max(mostUsed, aDeployment.UsedShare());
-    SleepMillis(50);
-  }
-  std::map<std::string, int> done;
-  std::map<std::string, bool> atWork;
+  int failed = 0;
+  int startedAfter = 0;
   for (const RunRecord& run : aDeployment.Runs().All()) {
-    const std::string id = run.m_task.substr(0, 16);
-    if (run.m_how == "done") ++done[id];
-    if (run.m_endedAt == 0 || run.m_endedAt >= since) atWork[id] = true;
-  }
-  int idle = 0;
-  for (const std::string& id : longJobs) {
-    const bool isIdle = done[id] < kLongSteps && !atWork[id];
-    if (isIdle) ++idle;
-    aRecord.Line(Text("job ", id, " steps done ", done[id], " of ", kLongSteps,
-                      isIdle ? ", nothing of it has run for 3 s" : "",
-                      "; GET -> ", aDeployment.StateOf(route, id)));
+    if (run.m_task.compare(0, failing.size(), failing) != 0) continue;
+    if (failed >= kMaxAttempts) ++startedAfter;
+    aRecord.Line(Text("run ", run.m_run, " of ", run.m_task, " on ",
+                      run.m_runner, " began at ",
+                      aRecord.SecondsAt(run.m_startedAt), " s: ", run.m_how));
+    if (run.m_how == "failed") ++failed;
   }
-  aRecord.Line(Text("jobs that could run and did not: ", idle, " of ",
-                    longJobs.size(), "; cores in use at most ",
-                    static_cast<int>(mostUsed * 100.0), " %"));
-  return idle > 0 && mostUsed < 0.5 ? kBroken : kHeld;
+  size_t listed = 0;
+  for (Runner* runner : idle) listed += runner->ListedEnds();
+  aRecord.Line(Text("ends that were not taken note of: ", listed));
+  aRecord.Line(
+      Text("GET ", failing, " -> ", aDeployment.StateOf(route, failing)));
+  aRecord.Line(Text("runs that failed: ", failed, ", allowed: ", kMaxAttempts,
+                    "; starts after these: ", startedAfter));
+  return startedAfter > static_cast<int>(listed) ? kBroken : kHeld;
 }
 
 }  // namespace
