standin: the row store enforces the limits of the platform's store

RowStore::Transact accepted any body: rows and calls of any size, fields of any type, tables that only the platform may write.

A transaction beyond a published limit (65,536 bytes a value, 200 bytes a name, 100 entries and 1 MB a call, 100 tables), over two parts or with fields missing is answered with 400, one that writes to the platform's tables with 403, and nothing is written. Answers have 500 rows or 1 MB. New faults: rows with one key are rejected; a runner ends its runs as stopped, with a checkpoint.

--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/url/pct_string_view.hpp>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace bronze::standin {
 
@@ -81,6 +82,26 @@
   return {aRow.at("table"), aRow.at("part"), aRow.at("key")};
 }
 
+/** Whether an entry of a transaction has the fields of its list, and within the
+ *  limits. */
+bool IsValidRow(const Json& aRow, std::string_view aList,
+                const RowStoreLimits& aLimits) {
+  if (!aRow.is_object()) return false;
+  for (const char* name : {"table", "part", "key"}) {
+    const auto field = aRow.find(name);
+    if (field == aRow.end() || !field->is_string() ||
+        field->get_ref<const std::string&>().size() > aLimits.m_nameBytes) {
+      return false;
+    }
+  }
+  if (aList == "expected") {
+    return aRow.contains("ver") && aRow.at("ver").is_number_unsigned();
+  }
+  if (aList != "put") return true;
+  return aRow.contains("value") && aRow.at("value").is_string() &&
+         Decode64(aRow.at("value")).size() <= aLimits.m_rowBytes;
+}
+
 }  // namespace
 
 RowStore::RowStore(ThreadPool& aThreads) : m_threads(aThreads) {}
@@ -165,9 +186,55 @@
   }
 }
 
+uint64_t RowStore::InvalidTransactions() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_invalidTransactions;
+}
+
+int RowStore::RefusalOf(const HttpCall& aCall, const Json& aBody) const {
+  constexpr int kBadRequest = 400;
+  constexpr int kForbidden = 403;
+  if (aCall.m_body.size() > m_limits.m_callBytes || !aBody.is_object()) {
+    return kBadRequest;
+  }
+  size_t entries = 0;
+  std::set<std::string> parts;
+  std::set<std::string> tables;
+  for (const auto& [key, row] : m_rows) tables.insert(std::get<0>(key));
+  for (const char* list : {"expected", "put", "remove"}) {
+    const Json rows = aBody.value(list, Json::array());
+    if (!rows.is_array()) return kBadRequest;
+    for (const Json& row : rows) {
+      if (!IsValidRow(row, list, m_limits)) return kBadRequest;
+      const std::string table = row.at("table");
+      const bool isWritten = std::string_view(list) != "expected";
+      if (isWritten && (table == "op" || table == "servers")) {
+        return kForbidden;
+      }
+      tables.insert(table);
+      parts.insert(row.at("part").get<std::string>());
+      ++entries;
+    }
+  }
+  for (const Json& row : aBody.value("put", Json::array())) {
+    if (!m_faults.m_rejectedKey.empty() &&
+        row.at("key") == m_faults.m_rejectedKey) {
+      return kBadRequest;
+    }
+  }
+  const bool isAccepted = entries <= m_limits.m_callEntries &&
+                          parts.size() <= 1 &&
+                          tables.size() <= m_limits.m_tables;
+  return isAccepted ? 0 : kBadRequest;
+}
+
 HttpReply RowStore::Transact(const HttpCall& aCall) {
-  const Json body = Json::parse(aCall.m_body);
+  const Json body = Json::parse(aCall.m_body, nullptr, false);
   const std::lock_guard<std::mutex> lock(m_mutex);
+  if (const int status = RefusalOf(aCall, body); status != 0) {
+    ++m_invalidTransactions;
+    return JsonReply(status, Json::object());
+  }
   bool holds = true;
   Json current = Json::array();
   for (const Json& expected : body.at("expected")) {
@@ -219,20 +286,23 @@
 }
 
 HttpReply RowStore::ReadRange(const HttpCall& aCall) {
-  constexpr size_t kMaxRows = 500;
   const std::string table = QueryValue(aCall.m_target, "table");
   const std::string part = QueryValue(aCall.m_target, "part");
   const std::string from = QueryValue(aCall.m_target, "from");
   const std::lock_guard<std::mutex> lock(m_mutex);
   Json rows = Json::array();
   bool truncated = false;
+  size_t bytes = 0;
   for (auto at = m_rows.lower_bound({table, part, from}); at != m_rows.end();
        ++at) {
     if (std::get<0>(at->first) != table || std::get<1>(at->first) != part) {
       break;
     }
     if (at->second.m_deleted) continue;
-    if (rows.size() == kMaxRows) {
+    bytes += at->second.m_value.size();
+    const bool isFull =
+        rows.size() == m_limits.m_answerRows || bytes > m_limits.m_answerBytes;
+    if (isFull && !rows.empty()) {
       truncated = true;
       break;
     }
@@ -332,21 +402,26 @@
 }
 
 void FakeRunner::EndRun(const std::string& aTask, const std::string& aKind,
-                        int64_t aEndedAt) {
+                        int64_t aEndedAt, std::string aCheckpoint) {
   const uint64_t run = m_running.at(aTask).m_number;
   RunRecord& record = m_runs[m_running.at(aTask).m_record];
   record.m_endedAt = aEndedAt;
   record.m_kind = aKind;
   m_running.erase(aTask);
   m_highestEnded[aTask] = std::max(m_highestEnded[aTask], run);
-  m_ends.push_back({++m_lastEnd, aTask, run, aKind});
+  m_ends.push_back({++m_lastEnd, aTask, run, aKind, std::move(aCheckpoint)});
 }
 
 void FakeRunner::Advance() {
   const int64_t now = NowMillis();
   const std::map<std::string, Run> running = m_running;
   for (const auto& [task, run] : running) {
-    if (now >= run.m_endsAt) {
+    if (m_faults.m_stopsWithCheckpoint > 0) {
+      // Starts with the name of its task, so that no two are equal.
+      std::string checkpoint = task;
+      checkpoint.resize(m_faults.m_stopsWithCheckpoint, '.');
+      EndRun(task, "stopped", now, std::move(checkpoint));
+    } else if (now >= run.m_endsAt) {
       EndRun(task, m_faults.m_failsTasks ? "failed" : "done", run.m_endsAt);
     } else if (now > m_deadline) {
       EndRun(task, "lapsed", m_deadline);
@@ -380,7 +455,8 @@
     const int64_t now = NowMillis();
     const auto time =
         std::chrono::duration_cast<milliseconds>(m_taskTime).count();
-    m_runs.push_back({task, run, now, INT64_MAX, ""});
+    m_runs.push_back({task, run, now, INT64_MAX, "",
+                      body.value("checkpoint", std::string())});
     m_running[task] = {run, now + time, m_runs.size() - 1};
     aLoseAnswer = m_faults.m_losesStartAnswers;
     return JsonReply(200, answer);
@@ -407,8 +483,8 @@
   answer["finished"] = Json::array();
   for (const End& end : m_ends) {
     if (answer["finished"].size() == kListedEnds) break;
-    answer["finished"].push_back(
-        Json::array({end.m_number, end.m_task, end.m_run, end.m_kind, ""}));
+    answer["finished"].push_back(Json::array(
+        {end.m_number, end.m_task, end.m_run, end.m_kind, end.m_checkpoint}));
   }
   return JsonReply(200, answer);
 }
--- a/src/standin/row_store.h
+++ b/src/standin/row_store.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -19,6 +20,18 @@
 
 namespace bronze::standin {
 
+/** Limits of the store, as published. A transaction beyond one is answered with
+ *  400, and nothing is written. */
+struct RowStoreLimits {
+  size_t m_rowBytes = 65536;     ///< Of a value.
+  size_t m_nameBytes = 200;      ///< Of a table, a part or a key.
+  size_t m_callEntries = 100;    ///< Of a transaction.
+  size_t m_callBytes = 1000000;  ///< Of a transaction as sent.
+  size_t m_tables = 100;
+  size_t m_answerRows = 500;
+  size_t m_answerBytes = 1000000;  ///< Of the rows in an answer.
+};
+
 /** Faults of the row store that are active. */
 struct RowStoreFaults {
   bool m_refusesCalls = false;  ///< Answers every call with 503.
@@ -35,6 +48,8 @@
    *  none. */
   int m_gatewayStatus = 0;
   Duration m_commitDelay{};  ///< From a transaction to its answer.
+  /** Answers transactions that put a row with this key with 400. */
+  std::string m_rejectedKey;
 };
 
 /** Faults of the runner that are active. */
@@ -42,6 +57,8 @@
   bool m_losesStartAnswers = false;  ///< Carries out starts without an answer.
   bool m_failsTasks = false;         ///< Ends tasks as failed.
   bool m_refusesStarts = false;      ///< Answers starts with 503.
+  /** Ends all runs as stopped, with a checkpoint of this length; 0: none. */
+  size_t m_stopsWithCheckpoint = 0;
 };
 
 /** One run of a task on a FakeRunner; times in ms of its clock. */
@@ -51,6 +68,7 @@
   int64_t m_startedAt = 0;
   int64_t m_endedAt = INT64_MAX;  ///< INT64_MAX: it runs.
   std::string m_kind;             ///< How it ended; empty: it runs.
+  std::string m_checkpoint;       ///< That it began with.
 };
 
 /** A row store in memory, with one version counter for all rows. */
@@ -74,6 +92,8 @@
                                   const std::string& aPart,
                                   const std::string& aKey);
   [[nodiscard]] size_t CountRows(const std::string& aTable);
+  /** @return the number of transactions beyond a limit or malformed. */
+  [[nodiscard]] uint64_t InvalidTransactions();
 
  private:
   using Key = std::tuple<std::string, std::string, std::string>;
@@ -86,6 +106,10 @@
   void Handle(int aFront, size_t aThread, const HttpCall& aCall,
               const std::shared_ptr<HttpResponder>& aResponder);
   HttpReply Transact(const HttpCall& aCall);
+  /** @return the status of a transaction that the store does not accept,
+   *  whatever its rows contain; 0: it does. */
+  [[nodiscard]] int RefusalOf(const HttpCall& aCall,
+                              const nlohmann::json& aBody) const;
   /** Answers a transaction, with the faults of such answers. */
   void ReplyToTransaction(size_t aThread, HttpReply aReply,
                           const std::shared_ptr<HttpResponder>& aResponder);
@@ -103,6 +127,8 @@
   std::mutex m_mutex;  ///< Guards all below.
   std::map<Key, Row> m_rows;
   uint64_t m_version = 0;
+  RowStoreLimits m_limits;
+  uint64_t m_invalidTransactions = 0;
   RowStoreFaults m_faults;
   uint64_t m_calls = 0;
   uint64_t m_callsWhileLosing = 0;  ///< Calls while m_losesAnswers is set.
@@ -141,13 +167,14 @@
     std::string m_task;
     uint64_t m_run = 0;
     std::string m_kind;
+    std::string m_checkpoint;
   };
 
   HttpReply Handle(const HttpCall& aCall, bool& aLoseAnswer);
   /** Ends the runs whose time is over or whose lease has ended. */
   void Advance();
   void EndRun(const std::string& aTask, const std::string& aKind,
-              int64_t aEndedAt);
+              int64_t aEndedAt, std::string aCheckpoint = "");
 
   ThreadPool& m_threads;
   Duration m_taskTime;
