sched: a job does not begin all its overdue occurrences at once

Cause: BeginDueOccurrences began each occurrence that was due. Their number is the caller's choice, and each one takes memory, queue entries and rows. Ordinary schedules have a few open at once, and nothing limited it.

Change: an occurrence begins while fewer than 500 occurrences and 20,000 tasks of the job are open; one may always be open. Later ones begin as others end, in the order of their due times, so none is lost. The limits also bound the state row of a divided job, which lists the open occurrences.

Tests: OverdueOccurrencesBeginAsOthersEnd (2,000 due times, all run), OpenTasksOfAScheduledJobAreLimited. Both need the new settings, so they do not build on the code before; there all 2,000 occurrences begin at once, by reading.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -70,6 +70,10 @@
   /** Failed searches after which a pass over the queue stops. */
   uint32_t m_maxFailedSearches = 64;
   uint32_t m_maxOpenJobs = 20000;  ///< Further jobs are refused.
+  /** Occurrences of one job that may be open at once, and their tasks; one
+   *  occurrence may always be open. Later ones begin when others end. */
+  uint32_t m_maxOpenOccurrences = 500;
+  uint32_t m_maxOpenTasks = 20000;
   /** Bytes of a row in the store. No row that TakeCommit returns is larger. */
   size_t m_rowBytes = 65536;
   /** Jobs with a larger state row are divided; at most m_rowBytes. */
@@ -236,7 +240,8 @@
    *  becomes ready and leaves with the last one, whatever that task becomes
    *  (LeaveQueueIfIdle), and an occurrence only ends once no task is ready. */
   std::set<QueueKey> m_queue;
-  std::set<JobId> m_dirty;  ///< Jobs with m_version > m_storedVersion.
+  /** Jobs with changes that no commit contains. */
+  std::set<JobId> m_dirty;
   /** Job that the last commit took last. The next one goes on behind it and
    *  round, so each changed job is taken before any is taken twice, also while
    *  more jobs change than one commit holds. */
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -200,25 +200,42 @@
 
 namespace {
 
+/** Whether another occurrence may begin: what a job with many due times holds
+ *  of this owner's memory, of its passes and of its state row is limited. */
+bool MayBeginOccurrence(const Cell& aCell, const Job& aJob) {
+  const size_t open = aJob.m_occurrences.size();
+  if (open == 0) return true;
+  size_t tasks = 0;
+  for (const StepSpec& step : aJob.m_spec.m_steps) tasks += step.m_count;
+  return open < aCell.m_settings.m_maxOpenOccurrences &&
+         (open + 1) * tasks <= aCell.m_settings.m_maxOpenTasks;
+}
+
 void BeginDueOccurrences(Cell& aCell, TimePoint aNow, UnixMillis aUnixNow) {
-  while (!aCell.m_scheduled.empty() &&
-         aCell.m_scheduled.begin()->first <= aUnixNow) {
-    const JobId id = aCell.m_scheduled.begin()->second;
-    aCell.m_scheduled.erase(aCell.m_scheduled.begin());
+  auto at = aCell.m_scheduled.begin();
+  while (at != aCell.m_scheduled.end() && at->first <= aUnixNow) {
+    const JobId id = at->second;
     const auto found = aCell.m_jobs.find(id);
-    if (found == aCell.m_jobs.end()) continue;
+    const bool isOpen = found != aCell.m_jobs.end() &&
+                        found->second.m_phase == JobPhase::Active;
+    if (isOpen && !MayBeginOccurrence(aCell, found->second)) {
+      ++at;
+      continue;
+    }
+    at = aCell.m_scheduled.erase(at);
+    if (!isOpen) continue;
     Job& job = found->second;
-    if (job.m_phase != JobPhase::Active) continue;
     const uint32_t number = job.m_nextOccurrence;
     if (number >= job.m_spec.m_maxRuns) continue;
     BeginOccurrence(aCell, job, number, aNow);
     MarkChanged(aCell, job);
     if (job.m_nextOccurrence < job.m_spec.m_maxRuns) {
-      aCell.m_scheduled.emplace(
-          UnixMillis(job.m_spec.m_startTime.Value() +
-                     job.m_spec.m_intervalMs *
-                         static_cast<int64_t>(job.m_nextOccurrence)),
-          id);
+      const UnixMillis next(job.m_spec.m_startTime.Value() +
+                            job.m_spec.m_intervalMs *
+                                static_cast<int64_t>(job.m_nextOccurrence));
+      // It may be due as well, and sorts before the position reached.
+      const auto inserted = aCell.m_scheduled.emplace(next, id).first;
+      if (at == aCell.m_scheduled.end() || *inserted < *at) at = inserted;
     }
   }
 }
--- a/tests/core/sched/divided_job_test.cpp
+++ b/tests/core/sched/divided_job_test.cpp
@@ -236,6 +236,41 @@
   BOOST_TEST(m_rows.m_states.empty());
 }
 
+/** Guards against a job with many due times in the past that takes all of the
+ *  owner's memory, passes and rows at once, and against due times that are
+ *  never served because of the limit. */
+BOOST_AUTO_TEST_CASE(OverdueOccurrencesBeginAsOthersEnd) {
+  constexpr uint32_t kTimes = 2000;
+  Submit(WideJob(kTimes, 1));
+  std::set<uint32_t> begun;
+  while (begun.size() < kTimes) {
+    AdvanceJobs(m_cell, m_now, m_unixNow);
+    const auto runs = StartUntilFull();
+    BOOST_REQUIRE(!runs.empty());
+    BOOST_REQUIRE(WideJobState().m_occurrences.size() <=
+                  m_cell.m_settings.m_maxOpenOccurrences);
+    for (const StartOrder& run : runs) begun.insert(run.m_task.m_occurrence);
+    EndRuns(runs, EndKind::Done, 0);
+    AdvanceTime(milliseconds(100));
+  }
+  CommitAllChecked();
+  BOOST_TEST((LookUpJob(m_cell, JobId(1)).value() == JobState::Completed));
+}
+
+/** The same for the tasks of wide occurrences; one may always begin. */
+BOOST_AUTO_TEST_CASE(OpenTasksOfAScheduledJobAreLimited) {
+  m_cell.m_settings.m_maxOpenTasks = 250;
+  Submit(WideJob(10, 100));
+  AdvanceJobs(m_cell, m_now, m_unixNow);
+  BOOST_TEST(WideJobState().m_occurrences.size() == 2U);
+  m_cell.m_settings.m_maxOpenTasks = 50;
+  JobSpec other = WideJob(10, 100);
+  other.m_id = JobId(2);
+  Submit(other);
+  AdvanceJobs(m_cell, m_now, m_unixNow);
+  BOOST_TEST(m_cell.m_jobs.at(JobId(2)).m_occurrences.size() == 1U);
+}
+
 /** Guards against a job that is accepted and then stops the commits of the
  *  cell: its own description is larger than a row. */
 BOOST_AUTO_TEST_CASE(JobThatNoRowHoldsIsRefused) {
