scheduler: a commit that the store rejects for its content is not repeated

The rows of one job stop the commits of all others, whatever the reason is for which the store does not accept them.

Cause: 400, 403 and 404 had the same outcome as 429, 503 and 507 ("a later try may succeed"). The commit was taken apart and built again with the same rows; after a try without an answer it was even repeated unchanged for as long as the owner lived.

Change: StoreOutcome::Rejected. The commit is not repeated. The next ones have half as many rows each time, down to those of one new job; jobs that are rejected then are left out for 30 s (HoldBackJob), and others go on. A rejection also settles earlier tries without an answer, as the store judges the same content alike. Learned interference is taken again after its interval instead of at once. Each rejection is logged with the rows and the limit and counted (bronze_commits_rejected_total). Since rows and commits are bounded, nothing should lead here.

Related paths read: heartbeats and claims that are rejected are repeated; their rows are of bounded size, and there is nothing to leave out.

Tests: RejectedRowsOfOneJobStopNoOther (failed on the code before: the other job is never accepted), HeldBackJobIsLeftOutForItsTime.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -242,6 +242,8 @@
   std::set<QueueKey> m_queue;
   /** Jobs with changes that no commit contains. */
   std::set<JobId> m_dirty;
+  /** Jobs that are kept out of m_dirty until then; see HoldBackJob. */
+  std::map<JobId, TimePoint> m_heldBack;
   /** Job that the last commit took last. The next one goes on behind it and
    *  round, so each changed job is taken before any is taken twice, also while
    *  more jobs change than one commit holds. */
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -161,10 +161,9 @@
                                aCommit.m_removedRoutes.begin(),
                                aCommit.m_removedRoutes.end());
   aCell.m_commitWanted = true;
-  if (aCommit.m_interference) {
-    aCell.m_interferenceTakenAt = TimePoint();
-    aCell.m_interferenceTaken = 0;
-  }
+  // The table is taken again after its interval, not at once: it must not keep
+  // other rows from being stored if the store does not accept it.
+  if (aCommit.m_interference) aCell.m_interferenceTaken = 0;
 }
 
 namespace {
@@ -245,6 +244,12 @@
 
 }  // namespace
 
+void HoldBackJob(Cell& aCell, JobId aJob, TimePoint aUntil) {
+  if (aCell.m_jobs.count(aJob) == 0) return;
+  aCell.m_heldBack[aJob] = aUntil;
+  aCell.m_dirty.erase(aJob);
+}
+
 bool AddTaskBlock(StoredState& aState, const JobSpec& aSpec,
                   const StoredTaskBlock& aBlock) {
   const auto occurrence =
--- a/src/core/sched/commit_cmd.h
+++ b/src/core/sched/commit_cmd.h
@@ -56,6 +56,10 @@
  *  commit. */
 void ReturnCommit(Cell& aCell, const Commit& aCommit);
 
+/** Leaves the job out of commits until aUntil: the store does not accept its
+ *  rows. Nothing of it that is not durable yet takes effect before. */
+void HoldBackJob(Cell& aCell, JobId aJob, TimePoint aUntil);
+
 /** Adds a block to the state of its divided job. @return false if the state
  *  has no such block, so that its row is a leftover. */
 [[nodiscard]] bool AddTaskBlock(StoredState& aState, const JobSpec& aSpec,
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -272,16 +272,26 @@
     }
     RemoveFromPending(aCell, found->second);
     aCell.m_dirty.erase(id);
+    aCell.m_heldBack.erase(id);
     RemoveRows(aCell, found->second);
     aCell.m_jobs.erase(found);
   }
 }
 
+void EndHoldBacks(Cell& aCell, TimePoint aNow) {
+  std::erase_if(aCell.m_heldBack, [&](const auto& aEntry) {
+    if (aNow < aEntry.second) return false;
+    aCell.m_dirty.insert(aEntry.first);
+    return true;
+  });
+}
+
 }  // namespace
 
 void AdvanceJobs(Cell& aCell, TimePoint aNow, UnixMillis aUnixNow) {
   BeginDueOccurrences(aCell, aNow, aUnixNow);
   RemoveOldJobs(aCell, aNow);
+  EndHoldBacks(aCell, aNow);
 }
 
 }  // namespace bronze::sched
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -30,7 +30,8 @@
 
 void MarkChanged(Cell& aCell, Job& aJob) {
   ++aJob.m_version;
-  aCell.m_dirty.insert(aJob.m_spec.m_id);
+  const JobId id = aJob.m_spec.m_id;
+  if (aCell.m_heldBack.count(id) == 0) aCell.m_dirty.insert(id);
 }
 
 void MarkTaskChanged(const TaskPlace& aPlace) {
@@ -404,6 +405,7 @@
   }
   ForgetAdvice(aCell, id);
   aCell.m_dirty.erase(id);
+  aCell.m_heldBack.erase(id);
   aCell.m_moving.erase(id);
   aCell.m_jobs.erase(id);
 }
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -104,6 +104,7 @@
     case 400:
     case 403:
     case 404:
+      return StoreOutcome::Rejected;
     case 429:
     case 503:
     case 507:
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -28,6 +28,7 @@
   Done,
   Conflict,     ///< A condition does not hold; nothing was written.
   Refused,      ///< Nothing was written; a later try may succeed.
+  Rejected,     ///< Nothing was written; the same call never succeeds.
   HistoryLost,  ///< Changes since the given version are no longer kept.
   Unknown,      ///< No answer: may be written already, later or never.
   Malformed,    ///< The answer cannot be read.
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -77,6 +77,10 @@
   TimePoint m_heartbeatReadAt;    ///< When that version was first read.
 };
 
+/** A transaction holds at most 100 entries. Two are for the owner row: its
+ *  expected version and its new value. */
+inline constexpr size_t kMaxRowsPerCommit = 98;
+
 class CellOwner : public std::enable_shared_from_this<CellOwner> {
  public:
   CellOwner(boost::asio::io_context& aContext, OwnerLinks aLinks,
@@ -109,6 +113,8 @@
   [[nodiscard]] const LatencyHistogram& CommitTimes() const {
     return m_commitTimes;
   }
+  /** @return commits whose content the store did not accept. */
+  [[nodiscard]] uint64_t RejectedCommits() const { return m_rejectedCommits; }
   /** @return how late the last ticks of the control loop were. */
   [[nodiscard]] Duration LoopLag() const { return m_loopLag; }
   [[nodiscard]] bool IsScheduling() const { return m_loaded && !m_ended; }
@@ -201,6 +207,11 @@
   void SendCommit();
   void OnCommitted(TransactionResult aResult);
   void FinishCommit(RowVersion aVersion);
+  /** Nothing of the commit was written: its rows go into a later one. */
+  void AbandonCommit();
+  /** The store does not accept the commit's content: narrows the next commits,
+   *  and in the end leaves out the jobs that are in all of those. */
+  void NarrowCommits();
   void LoseCell(std::string_view aReason);
 
   // cell_owner_heartbeat.cpp
@@ -254,6 +265,8 @@
   bool m_commitOutcomeUnknown = false;  ///< A try got no answer.
   bool m_lastCommitTryFailed = false;   ///< The last try of a commit failed.
   TimePoint m_commitNotBefore;          ///< Next commit after a refused one.
+  size_t m_commitRows;  ///< Limit, below the store's after rejections.
+  uint64_t m_rejectedCommits = 0;
   uint32_t m_commitTries = 0;
   TimePoint m_commitBegunAt;
   TimePoint m_commitSentAt;
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -19,9 +19,10 @@
 
 namespace {
 
-/** A transaction holds at most 100 entries. Two are for the owner row: its
- *  expected version and its new value. */
-constexpr size_t kMaxRowsPerCommit = 98;
+/** Rows of a new job. */
+constexpr size_t kMinRowsPerCommit = 2;
+/** How long a job is left out whose rows the store does not accept. */
+constexpr Duration kRejectedRetry = seconds(30);
 constexpr int kLastHeartbeatTries = 3;
 /** Weight of the newest commit in the mean time of commits. */
 constexpr double kCommitTimeWeight = 0.1;
@@ -49,7 +50,7 @@
       now - m_lastCommitSentAt < kOwnerHeartbeatInterval) {
     return;
   }
-  m_commit = sched::TakeCommit(m_cell, kMaxRowsPerCommit, now);
+  m_commit = sched::TakeCommit(m_cell, m_commitRows, now);
   ++m_ownerRow.m_sequence;
   // Without the stored state, nothing is known of the runners.
   if (m_loaded) m_ownerRow.m_unresponsive = UnresponsiveRows();
@@ -154,15 +155,15 @@
     return;
   }
   m_lastCommitTryFailed = true;
+  // The store judges the content of each try alike, so a rejection tells that
+  // the unanswered tries before it have written nothing either.
+  if (aResult.m_outcome == StoreOutcome::Rejected) {
+    AbandonCommit();
+    NarrowCommits();
+    return;
+  }
   if (aResult.m_outcome == StoreOutcome::Refused && !m_commitOutcomeUnknown) {
-    // Nothing was stored: the rows go into a later transaction.
-    sched::ReturnCommit(m_cell, m_commit);
-    m_commitPending = false;
-    // A last commit that was refused is made again.
-    m_ownerRow.m_vm = m_vm;
-    m_releaseSent = false;
-    m_commitNotBefore = BootNow() + kRetryPause;
-    RefuseUnstored(false);
+    AbandonCommit();
     return;
   }
   if (aResult.m_outcome != StoreOutcome::Refused) m_commitOutcomeUnknown = true;
@@ -174,8 +175,38 @@
       });
 }
 
+void CellOwner::AbandonCommit() {
+  sched::ReturnCommit(m_cell, m_commit);
+  m_commitPending = false;
+  // A last commit that was refused is made again.
+  m_ownerRow.m_vm = m_vm;
+  m_releaseSent = false;
+  m_commitNotBefore = BootNow() + kRetryPause;
+  RefuseUnstored(false);
+}
+
+void CellOwner::NarrowCommits() {
+  ++m_rejectedCommits;
+  m_log.Write("[store]",
+              "commit rejected for its content cell={} sequence={} rows={} "
+              "limit={}",
+              m_cellId.Value(), m_ownerRow.m_sequence,
+              m_transaction.m_puts.size() + m_transaction.m_removes.size(),
+              m_commitRows);
+  if (m_commitRows > kMinRowsPerCommit) {
+    m_commitRows = std::max(m_commitRows / 2, kMinRowsPerCommit);
+    return;
+  }
+  for (const sched::JobWrite& write : m_commit.m_writes) {
+    m_log.Write("[store]", "rows of a job are left out cell={} job={:016x}",
+                m_cellId.Value(), write.m_job.Value());
+    sched::HoldBackJob(m_cell, write.m_job, BootNow() + kRejectedRetry);
+  }
+}
+
 void CellOwner::FinishCommit(RowVersion aVersion) {
   m_commitPending = false;
+  m_commitRows = std::min(m_commitRows * 2, kMaxRowsPerCommit);
   m_ownerVersion = aVersion;
   m_lastCommitSentAt = m_commitSentAt;
   const Duration took = BootNow() - m_commitBegunAt;
--- a/src/scheduler/cell_owner_heartbeat.cpp
+++ b/src/scheduler/cell_owner_heartbeat.cpp
@@ -84,6 +84,7 @@
       if (!m_loaded) SendHeartbeat(now);
       return;
     case StoreOutcome::Refused:
+    case StoreOutcome::Rejected:
     case StoreOutcome::Unknown:
     case StoreOutcome::Malformed:
     case StoreOutcome::HistoryLost:
--- a/src/scheduler/entry_metrics.cpp
+++ b/src/scheduler/entry_metrics.cpp
@@ -108,6 +108,8 @@
     AppendCell(text, label, owner->State());
     AppendCount(text, fmt::format("control_loop_lag_us{{{}}}", label),
                 static_cast<uint64_t>(owner->LoopLag().count()));
+    AppendCount(text, fmt::format("commits_rejected_total{{{}}}", label),
+                owner->RejectedCommits());
     AppendPrometheus(owner->CommitTimes(), "bronze_commit_seconds", label,
                      text);
   }
--- a/tests/core/sched/divided_job_test.cpp
+++ b/tests/core/sched/divided_job_test.cpp
@@ -334,6 +334,28 @@
   BOOST_TEST(!m_cell.m_commitWanted);
 }
 
+/** Guards against a job whose rows the store does not accept, and with it a
+ *  whole cell, that is committed again and again; and against one that is never
+ *  tried again. */
+BOOST_AUTO_TEST_CASE(HeldBackJobIsLeftOutForItsTime) {
+  Submit(Spec(1));
+  Submit(Spec(2));
+  HoldBackJob(m_cell, JobId(1), m_now + seconds(30));
+  PlaceTasks(m_cell, m_now);
+  const Commit commit = TakeChecked();
+  BOOST_REQUIRE_EQUAL(commit.m_writes.size(), 1U);
+  BOOST_TEST((commit.m_writes[0].m_job == JobId(2)));
+  ApplyCommitted(m_cell, commit, m_now);
+  BOOST_TEST(!HasCommit(m_cell));
+  BOOST_TEST(Take<StartOrder>().size() == 1U);
+  AdvanceTime(seconds(31));
+  AdvanceJobs(m_cell, m_now, m_unixNow);
+  BOOST_TEST(HasCommit(m_cell));
+  CommitAllChecked();
+  BOOST_TEST(m_cell.m_jobs.at(JobId(1)).m_storedVersion ==
+             m_cell.m_jobs.at(JobId(1)).m_version);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze::sched
--- a/tests/scheduler/row_limit_test.cpp
+++ b/tests/scheduler/row_limit_test.cpp
@@ -129,6 +129,25 @@
   BOOST_TEST(m_store.CountRows("tasks") == 1U);
 }
 
+/** Guards against a cell that stores nothing any more because the store does
+ *  not accept the rows of one job, whatever the reason: the commit was repeated
+ *  with the same rows for as long as the owner lived. */
+BOOST_AUTO_TEST_CASE(RejectedRowsOfOneJobStopNoOther) {
+  RunningNode& node = AddNode("n1");
+  m_runners[0]->SetFaults({});
+  BOOST_REQUIRE(SubmitUntilAccepted(node, "00000000000000e5"));
+  RowStoreFaults faults;
+  faults.m_rejectedKey = "00000000000000e5";
+  m_store.SetFaults(faults);
+  BOOST_TEST(Eventually([&] { return m_store.InvalidTransactions() > 0; }));
+  BOOST_TEST(SubmitUntilAccepted(node, "00000000000000e6"));
+  BOOST_TEST(BecomesCompleted(node, "00000000000000e6"));
+  BOOST_TEST(node.Metrics().find("commits_rejected_total{cell=\"0\"} 0") ==
+             std::string::npos);
+  m_store.SetFaults({});
+  BOOST_TEST(BecomesCompleted(node, "00000000000000e5"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
