sched: the heartbeat has no more labels than a row holds

A heartbeat that the store refuses leaves the cell without an owner. Not seen; found by reading.

Change: LoadOf leaves out labels that do not fit. Such a label only keeps new jobs that require it in their home cell.

Test: LabelsOfRunnersFitIntoTheHeartbeat (one label of 70,000 bytes, 400 of 190).

--- a/src/core/sched/route_cmd.cpp
+++ b/src/core/sched/route_cmd.cpp
@@ -10,6 +10,7 @@
 #include <set>
 
 #include "core/sched/cell_layout_func.h"
+#include "core/sched/stored_size_func.h"
 #include "core/sched/task_internal.h"
 
 namespace bronze::sched {
@@ -75,6 +76,10 @@
 
 }  // namespace
 
+/** Of a heartbeat without labels: its numbers, and the name and address of the
+ *  owner, of at most 200 bytes each. */
+constexpr size_t kHeartbeatFrame = 600;
+
 CellLoad LoadOf(const Cell& aCell) {
   uint64_t longRunning = 0;
   uint64_t shortCores = 0;
@@ -103,7 +108,15 @@
   load.m_longRunning = Share(longRunning, load.m_cores);
   load.m_short = Share(shortCores, load.m_cores);
   load.m_bestEffort = Share(bestEffort, load.m_cores);
-  load.m_kinds.assign(kinds.begin(), kinds.end());
+  // The load is part of the heartbeat, without which the cell has no owner. A
+  // label that is left out only keeps new jobs that require it in their home.
+  size_t room = aCell.m_settings.m_rowBytes - kHeartbeatFrame;
+  for (const std::string& kind : kinds) {
+    const size_t bytes = TextBytesBound(kind);
+    if (bytes > room) continue;
+    room -= bytes;
+    load.m_kinds.push_back(kind);
+  }
   return load;
 }
 
--- a/tests/core/sched/divided_job_test.cpp
+++ b/tests/core/sched/divided_job_test.cpp
@@ -2,11 +2,12 @@
  * @file divided_job_test.cpp Jobs whose state does not fit into one row.
  */
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <set>
 
 #include "cell_fixture.h"
-#include "core/sched/interference_func.h"
+#include "core/sched/route_cmd.h"
 #include "core/sched/stored_size_func.h"
 
 namespace bronze::sched {
@@ -334,6 +335,22 @@
   BOOST_TEST(!m_cell.m_commitWanted);
 }
 
+/** Guards against a cell without an owner: the heartbeat names the labels of
+ * all runners, and entries of runners may come from other programs. */
+BOOST_AUTO_TEST_CASE(LabelsOfRunnersFitIntoTheHeartbeat) {
+  AddRunner("odd", 64000, std::string(70000, 'a'));
+  for (int at = 0; at < 400; ++at) {
+    AddRunner("long" + std::to_string(at), 64000,
+              std::to_string(at) + std::string(190, 'b'));
+  }
+  size_t bytes = 0;
+  const CellLoad load = LoadOf(m_cell);
+  for (const std::string& label : load.m_kinds) bytes += TextBytesBound(label);
+  BOOST_TEST(bytes <= m_cell.m_settings.m_rowBytes);
+  BOOST_TEST(load.m_kinds.size() > 300U);
+  BOOST_TEST(std::is_sorted(load.m_kinds.begin(), load.m_kinds.end()));
+}
+
 /** Guards against a job whose rows the store does not accept, and with it a
  *  whole cell, that is committed again and again; and against one that is never
  *  tried again. */
