sched: failed runs count exactly, whatever their numbers

Cause: Task::m_failedRuns was a mask of 64 bits by run number, in which all runs from 64 on shared one bit. A number is assigned with each placement, and a runner that refuses is used again after 0.3 s, so refusals use up 64 numbers within seconds. The check that no end counts twice was left out for these runs, so an end that was listed again to a later owner counted towards the quarantine of its runner again.

Ruled out: ends that were not read (all were acknowledged); a limit of attempts that was read wrongly (without refusals the job fails after 3).

Change: FailedRuns has the number of failed runs and the ranges of their numbers. A run in a range never counts again, so the number is exact by construction; the invariant stands beside the members. At most 12 ranges are kept, which bounds the row; no two are joined before a task has failed 13 times. The members of a gang share their runs, so the first member has the failed runs of the gang. Run 0, which a malformed report has, made the shift undefined and never counts now.

Rows: where the mask told all, they keep their bytes. Else they have the mask that the version before would have written, and the ranges in a ninth field, which that version does not read.

Related paths read: SupersedeOtherRun and the stops compare run numbers for equality; a row has 61 bits for them; m_failuresInRow counts per owner's term. Nothing else depends on a run number being small.

FailuresBeyondTheMaskAreKept checks the rows. Tests that set or compared the mask use FailedRunsOfMask.

--- a/src/codec/job_cbor.cpp
+++ b/src/codec/job_cbor.cpp
@@ -3,8 +3,9 @@
  *
  * A row is an array whose first element is the format version. A task is one
  * number that combines its run number and state. After it come, if present, the
- * number of failed runs, the index of the runner of a placed task, and the
- * checkpoint of an open task.
+ * mask of its failed runs, the index of the runner of a placed task, and the
+ * checkpoint of an open task. A list at the end has the failed runs of tasks
+ * that have no exact mask.
  */
 
 #include "codec/job_cbor.h"
@@ -16,6 +17,7 @@
 #include <nlohmann/json.hpp>
 
 #include "codec/bounded_json.h"
+#include "core/sched/failed_runs_func.h"
 
 namespace bronze {
 
@@ -148,9 +150,8 @@
   return aTask.m_checkpoint.empty() ? TaskCode::Open : TaskCode::Resumable;
 }
 
-/** Two lists: the runners of placed tasks, and the tasks. */
 struct TaskLists {
-  Json m_runners = Json::array();
+  Json m_runners = Json::array();  ///< Of placed tasks.
   Json m_tasks = Json::array();
 };
 
@@ -161,9 +162,9 @@
   Json& tasks = lists.m_tasks;
   for (const StoredTask& task : aTasks) {
     const TaskCode code = CodeOf(task);
-    const uint64_t flag = task.m_failedRuns != 0 ? kHasFailures : 0;
+    const uint64_t flag = task.m_failedRuns.m_count > 0 ? kHasFailures : 0;
     tasks.push_back(task.m_run.Value() << kRunShift | flag | code);
-    if (flag != 0) tasks.push_back(task.m_failedRuns);
+    if (flag != 0) tasks.push_back(sched::MaskOfFailedRuns(task.m_failedRuns));
     if (code == TaskCode::Placed) {
       const auto [at, isNew] = indexes.emplace(task.m_runner, indexes.size());
       if (isNew) runners.push_back(task.m_runner.Value());
@@ -182,7 +183,8 @@
     StoredTask task;
     task.m_run = sched::RunNumber(number >> kRunShift);
     if ((number & kHasFailures) != 0) {
-      task.m_failedRuns = aTasks.at(++at).get<uint64_t>();
+      task.m_failedRuns =
+          sched::FailedRunsOfMask(aTasks.at(++at).get<uint64_t>());
     }
     switch (number & kStateMask) {
       case TaskCode::Placed:
@@ -204,6 +206,36 @@
   return tasks;
 }
 
+/** Adds an entry for each task whose failed runs do not fit into a mask: its
+ *  occurrence and index, their number, and their ranges. */
+void AddUnmaskedFailures(Json& aList, uint32_t aOccurrence,
+                         const std::vector<StoredTask>& aTasks) {
+  for (size_t at = 0; at < aTasks.size(); ++at) {
+    const sched::FailedRuns& runs = aTasks[at].m_failedRuns;
+    if (sched::IsMaskExact(runs)) continue;
+    Json entry = Json::array({aOccurrence, at, runs.m_count});
+    for (const sched::RunRange& range : runs.m_ranges) {
+      entry.push_back(range.m_first.Value());
+      entry.push_back(range.m_last.Value());
+    }
+    aList.push_back(std::move(entry));
+  }
+}
+
+/** Replaces the failed runs that were read from a mask. */
+void ReadUnmaskedFailures(const Json& aEntry, std::vector<StoredTask>& aTasks) {
+  constexpr size_t kFirstRange = 3;
+  const auto at = aEntry.at(1).get<size_t>();
+  if (at >= aTasks.size()) return;
+  sched::FailedRuns& runs = aTasks[at].m_failedRuns;
+  runs = {aEntry.at(2).get<uint32_t>(), {}};
+  for (size_t range = kFirstRange; range + 1 < aEntry.size(); range += 2) {
+    runs.m_ranges.push_back(
+        {sched::RunNumber(aEntry.at(range).get<uint64_t>()),
+         sched::RunNumber(aEntry.at(range + 1).get<uint64_t>())});
+  }
+}
+
 Json OccurrenceToJson(const StoredOccurrence& aOccurrence) {
   TaskLists lists = TasksToJson(aOccurrence.m_tasks);
   return Json::array({aOccurrence.m_number, std::move(lists.m_runners),
@@ -263,11 +295,17 @@
   Json row = Json::array(
       {kFormatVersion, aState.m_job.Value(), static_cast<int>(aState.m_phase),
        aState.m_nextOccurrence, aState.m_anyStarted, occurrences});
-  // Jobs that never moved keep the format of earlier builds.
-  if (aState.m_moveCount > 0) {
+  Json failures = Json::array();
+  for (const StoredOccurrence& occurrence : aState.m_occurrences) {
+    AddUnmaskedFailures(failures, occurrence.m_number, occurrence.m_tasks);
+  }
+  // Other jobs keep the format of earlier builds, which read no further than
+  // the move and find the masks that they would have written.
+  if (aState.m_moveCount > 0 || !failures.empty()) {
     row.push_back(MoveTarget(aState));
     row.push_back(aState.m_moveCount);
   }
+  if (!failures.empty()) row.push_back(std::move(failures));
   return ToBytes(row);
 }
 
@@ -290,14 +328,25 @@
               isDivided ? StoredOccurrence{occurrence.get<uint32_t>(), {}}
                         : OccurrenceFromJson(occurrence));
         }
-        // Rows of jobs that never moved end here.
+        // Rows of most jobs that never moved end here.
         constexpr size_t kMovingTo = 6;
+        constexpr size_t kFailures = 8;
         if (aJson.size() <= kMovingTo) return state;
         if (!aJson.at(kMovingTo).empty()) {
           state.m_movingTo = CellId(aJson.at(kMovingTo).at(0).get<uint32_t>());
         }
         state.m_moveCount = aJson.at(kMovingTo + 1).get<uint32_t>();
-        if (!isDivided) return state;
+        if (!isDivided) {
+          if (aJson.size() <= kFailures) return state;
+          for (const Json& entry : aJson.at(kFailures)) {
+            const auto number = entry.at(0).get<uint32_t>();
+            for (StoredOccurrence& occurrence : state.m_occurrences) {
+              if (occurrence.m_number != number) continue;
+              ReadUnmaskedFailures(entry, occurrence.m_tasks);
+            }
+          }
+          return state;
+        }
         state.m_tasksPerBlock = aJson.at(kMovingTo + 2).get<uint32_t>();
         if (state.m_tasksPerBlock == 0) {
           return MakeError(ErrorKind::PeerMalformed, "blocks without tasks");
@@ -309,19 +358,25 @@
 
 std::string EncodeTaskBlock(const StoredTaskBlock& aBlock) {
   TaskLists lists = TasksToJson(aBlock.m_tasks);
-  return ToBytes(
-      Json::array({kFormatVersion, aBlock.m_key.m_job.Value(),
-                   aBlock.m_key.m_occurrence, aBlock.m_key.m_firstTask,
-                   std::move(lists.m_runners), std::move(lists.m_tasks)}));
+  Json failures = Json::array();
+  AddUnmaskedFailures(failures, aBlock.m_key.m_occurrence, aBlock.m_tasks);
+  return ToBytes(Json::array(
+      {kFormatVersion, aBlock.m_key.m_job.Value(), aBlock.m_key.m_occurrence,
+       aBlock.m_key.m_firstTask, std::move(lists.m_runners),
+       std::move(lists.m_tasks), std::move(failures)}));
 }
 
 Result<StoredTaskBlock> DecodeTaskBlock(std::string_view aBytes) {
   return Decode<StoredTaskBlock>(
       aBytes, "block of tasks", [](const Json& aJson) {
-        return StoredTaskBlock{
+        StoredTaskBlock block{
             {JobId(aJson.at(1).get<uint64_t>()), aJson.at(2).get<uint32_t>(),
              aJson.at(3).get<uint32_t>()},
             TasksFromJson(aJson.at(4), aJson.at(5))};
+        for (const Json& entry : aJson.at(6)) {
+          ReadUnmaskedFailures(entry, block.m_tasks);
+        }
+        return block;
       });
 }
 
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "core/sched/failed_runs_func.h"
 #include "core/sched/interference_func.h"
 #include "core/sched/job_write_cmd.h"
 #include "core/sched/runner_cmd.h"
@@ -173,7 +174,15 @@
   const TaskPlace place = FindTask(aCell, aKey);
   Task& task = *place.m_task;
   task.m_run = aStored.m_run;
-  task.m_failedRuns = aStored.m_failedRuns;
+  // Earlier builds keep the failed runs of a gang with each of its members.
+  TaskKey counter = aKey;
+  if (place.m_step->m_gang) counter.m_index = 0;
+  FailedRuns& failedRuns = FindTask(aCell, counter).m_task->m_failedRuns;
+  if (failedRuns.m_count == 0) {
+    failedRuns = aStored.m_failedRuns;
+  } else {
+    AddFailedRuns(failedRuns, aStored.m_failedRuns);
+  }
   task.m_checkpoint = aStored.m_checkpoint;
   task.m_phaseSince = aNow;
   switch (aStored.m_state) {
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -9,7 +9,6 @@
 #ifndef BRONZE_CORE_SCHED_JOB_TYPE_H_
 #define BRONZE_CORE_SCHED_JOB_TYPE_H_
 
-#include <bit>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -20,13 +19,13 @@
 #include "core/base/id_type.h"
 #include "core/base/resources_type.h"
 #include "core/base/time_type.h"
+#include "core/sched/failed_runs_type.h"
 #include "core/sched/interference_type.h"
 
 namespace bronze::sched {
 
 using QueueId = NameId<struct QueueIdTag>;      ///< A queue of jobs.
 using ServiceId = NameId<struct ServiceIdTag>;  ///< A pool of runners.
-using RunNumber = Sequence<struct RunNumberTag>;
 using UnixMillis =
     Quantity<struct UnixMillisTag>;  ///< Wall-clock time since 1970.
 
@@ -139,9 +138,9 @@
 struct Task {
   TaskPhase m_phase = TaskPhase::Blocked;
   RunNumber m_run;  ///< Highest run number assigned; 0: none.
-  /** Bit n: run n + 1 failed. Kept per run, since a failed end may be reported
-   *  again to a later owner. */
-  uint64_t m_failedRuns = 0;
+  /** Of a member of a gang: empty, as its first member has those of the gang.
+   */
+  FailedRuns m_failedRuns;
   RunnerIndex m_runner;  ///< Valid from Intended to Stopping.
   /** Job version that contains the chosen runner. */
   uint64_t m_intentVersion = 0;
@@ -170,11 +169,6 @@
   RunnerIndex m_avoid;  ///< Runner to avoid, since the last run failed there.
 };
 
-/** @return the number of failed runs of the task. */
-[[nodiscard]] inline uint32_t FailureCount(const Task& aTask) {
-  return static_cast<uint32_t>(std::popcount(aTask.m_failedRuns));
-}
-
 /** One execution of all steps of a job. */
 struct Occurrence {
   std::vector<Task> m_tasks;  ///< Of all steps, in order.
--- a/src/core/sched/runner_report_cmd.cpp
+++ b/src/core/sched/runner_report_cmd.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "core/sched/failed_runs_func.h"
 #include "core/sched/lease_func.h"
 #include "core/sched/pacing_func.h"
 #include "core/sched/runner_cmd.h"
@@ -72,39 +73,35 @@
                                  aRunner.m_quarantineCount));
 }
 
-/** @return the failed runs of the task, or of the whole gang, whose members
- *  share each run and fail together. */
-uint32_t FailuresTowardsLimit(Cell& aCell, const TaskKey& aKey,
-                              const TaskPlace& aPlace) {
-  if (!aPlace.m_step->m_gang) return FailureCount(*aPlace.m_task);
-  uint64_t runs = 0;
-  for (uint32_t index = 0; index < aPlace.m_step->m_count; ++index) {
-    TaskKey key = aKey;
-    key.m_index = index;
-    runs |= FindTask(aCell, key).m_task->m_failedRuns;
-  }
-  return static_cast<uint32_t>(std::popcount(runs));
+/** @return the task that has the failed runs: for a member of a gang the first
+ *          one, as the members share each run and fail together. */
+TaskPlace FailureCounter(Cell& aCell, const TaskKey& aKey,
+                         const TaskPlace& aPlace) {
+  if (!aPlace.m_step->m_gang) return aPlace;
+  TaskKey first = aKey;
+  first.m_index = 0;
+  return FindTask(aCell, first);
 }
 
 void FailTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
               const EndRow& aEnd, Runner& aRunner, TimePoint aNow) {
   Task& task = *aPlace.m_task;
-  constexpr uint64_t kTrackedRuns = 64;
-  const uint64_t number = std::min(aEnd.m_run.Value(), kTrackedRuns);
-  const uint64_t bit = uint64_t{1} << (number - 1);
-  if ((task.m_failedRuns & bit) != 0 && number < kTrackedRuns) return;
-  task.m_failedRuns |= bit;
+  const bool isCurrent = HasPlace(task.m_phase) && task.m_run == aEnd.m_run;
+  const TaskPlace counter = FailureCounter(aCell, aKey, aPlace);
+  const bool isNew = AddFailedRun(counter.m_task->m_failedRuns, aEnd.m_run);
+  // The end is listed again, or it is that of another member of the gang.
+  if (!isNew && !isCurrent) return;
+  MarkTaskChanged(counter);
   MarkChanged(aCell, *aPlace.m_job);
   if (++aRunner.m_failuresInRow >= aCell.m_settings.m_failuresToQuarantine) {
     Quarantine(aCell, aRunner, aNow, "failures");
   }
-  const bool isCurrent = HasPlace(task.m_phase) && task.m_run == aEnd.m_run;
   if (isCurrent) {
     task.m_avoid = task.m_runner;
     Requeue(aCell, aKey, aPlace, aNow);
   }
   if (aPlace.m_step->m_longRunning) return;
-  const uint32_t failures = FailuresTowardsLimit(aCell, aKey, aPlace);
+  const uint32_t failures = counter.m_task->m_failedRuns.m_count;
   if (failures >= aPlace.m_job->m_spec.m_policy.m_maxAttempts) {
     LogDecision(aCell, fmt::format("job failed task={} failures={}",
                                    TaskText(aKey), failures));
--- a/src/core/sched/stored_size_func.cpp
+++ b/src/core/sched/stored_size_func.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <unordered_set>
 
+#include "core/sched/failed_runs_func.h"
+
 namespace bronze::sched {
 
 namespace {
@@ -30,6 +32,18 @@
                     : IntegerBytes(static_cast<uint64_t>(aValue));
 }
 
+/** A mask, and an entry in the list of those whose mask does not tell all. */
+size_t FailedRunsBytesBound(const FailedRuns& aRuns) {
+  if (aRuns.m_count == 0) return 0;
+  if (IsMaskExact(aRuns)) return IntegerBytes(MaskOfFailedRuns(aRuns));
+  size_t bytes = kNumberBytes + 4 * kListHead;
+  for (const RunRange& range : aRuns.m_ranges) {
+    bytes += IntegerBytes(range.m_first.Value()) +
+             IntegerBytes(range.m_last.Value());
+  }
+  return bytes;
+}
+
 size_t TasksBytesBound(const std::vector<StoredTask>& aTasks) {
   size_t bytes = 2 * kListHead;
   // The id of each runner is stored once.
@@ -73,7 +87,7 @@
       aTask.m_run.Value() < UINT32_MAX / kStateValues
           ? IntegerBytes(aTask.m_run.Value() * kStateValues + kStateValues - 1)
           : kNumberBytes;
-  if (aTask.m_failedRuns != 0) bytes += IntegerBytes(aTask.m_failedRuns);
+  bytes += FailedRunsBytesBound(aTask.m_failedRuns);
   if (aTask.m_state == StoredTask::State::Placed) {
     bytes += kListHead;  // Position of its runner in a list.
   }
--- a/src/core/sched/stored_state_type.h
+++ b/src/core/sched/stored_state_type.h
@@ -25,7 +25,7 @@
   enum class State : uint8_t { Open, Placed, Done };
   State m_state = State::Open;
   RunNumber m_run;
-  uint64_t m_failedRuns = 0;
+  FailedRuns m_failedRuns;
   RunnerId m_runner;         ///< Set in state Placed.
   std::string m_checkpoint;  ///< Set in state Open.
 };
--- a/tests/codec/stored_samples.cpp
+++ b/tests/codec/stored_samples.cpp
@@ -14,6 +14,7 @@
 #include "codec/key_json.h"
 #include "codec/peer_call_cbor.h"
 #include "codec/peer_cbor.h"
+#include "core/sched/failed_runs_func.h"
 
 namespace bronze {
 
@@ -74,14 +75,14 @@
   open.m_run = sched::RunNumber(1);
   sched::StoredTask resumable = open;
   resumable.m_checkpoint = "checkpoint-9";
-  resumable.m_failedRuns = 5;
+  resumable.m_failedRuns = sched::FailedRunsOfMask(5);
   sched::StoredTask placed;
   placed.m_state = sched::StoredTask::State::Placed;
   placed.m_run = sched::RunNumber(2);
   placed.m_runner = RunnerId("runner-1");
   sched::StoredTask failedOnce = placed;
   failedOnce.m_runner = RunnerId("runner-2");
-  failedOnce.m_failedRuns = 1;
+  failedOnce.m_failedRuns = sched::FailedRunsOfMask(1);
   sched::StoredTask done;
   done.m_state = sched::StoredTask::State::Done;
   done.m_run = sched::RunNumber(7);
--- a/tests/codec/stored_size_test.cpp
+++ b/tests/codec/stored_size_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "codec/job_cbor.h"
+#include "core/sched/failed_runs_func.h"
 #include "core/sched/interference_func.h"
 #include "core/sched/stored_size_func.h"
 
@@ -35,7 +36,10 @@
   task.m_state = static_cast<StoredTask::State>(*rc::gen::inRange(0, 3));
   // The run number shares 64 bits with three bits of state.
   task.m_run = sched::RunNumber(AnyNumber() >> 3);
-  task.m_failedRuns = AnyNumber();
+  const int failures = *rc::gen::inRange(0, 20);
+  for (int at = 0; at < failures; ++at) {
+    sched::AddFailedRun(task.m_failedRuns, sched::RunNumber(AnyNumber() >> 3));
+  }
   if (task.m_state == StoredTask::State::Placed) {
     task.m_runner = RunnerId(AnyText(200) + std::to_string(AnyNumber() % 8));
   }
@@ -132,7 +136,10 @@
       for (uint32_t at = 0; at < sched::TasksPerBlock(rowBytes); ++at) {
         StoredTask task;
         task.m_run = sched::RunNumber(UINT64_MAX >> 3);
-        task.m_failedRuns = UINT64_MAX;
+        for (uint64_t run = 0; run < 2 * sched::kMaxFailedRanges; ++run) {
+          sched::AddFailedRun(task.m_failedRuns,
+                              sched::RunNumber((UINT64_MAX >> 3) - 2 * run));
+        }
         if (isPlaced) {
           task.m_state = StoredTask::State::Placed;
           std::string name(200, 'x');
--- a/tests/core/sched/cell_test.cpp
+++ b/tests/core/sched/cell_test.cpp
@@ -86,7 +86,7 @@
   TakeOver();
   const RunnerIndex again = AddRunner("a");
   Report(again, {}, {end});
-  BOOST_TEST(FailureCount(TaskOf(1)) == 1);
+  BOOST_TEST(TaskOf(1).m_failedRuns.m_count == 1);
 }
 
 /** Guards against endless restarts of a job that can never succeed. */
--- a/tests/scheduler/platform_decode_test.cpp
+++ b/tests/scheduler/platform_decode_test.cpp
@@ -6,9 +6,11 @@
 #include <fmt/format.h>
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "codec/job_cbor.h"
 #include "codec/peer_call_cbor.h"
+#include "core/sched/failed_runs_func.h"
 #include "core/sched/name_func.h"
 #include "platform/caller_wire.h"
 #include "platform/node_config.h"
@@ -47,6 +49,26 @@
   BOOST_TEST((config.value().m_maxLease == seconds(6)));
 }
 
+/** Guards against rows that are larger than this deployment's store accepts,
+ * and against a limit that no row could keep. */
+BOOST_AUTO_TEST_CASE(LimitOfRowsIsRead) {
+  const auto withLimit = [](const std::string& aLimit) {
+    std::string text = kSettings;
+    const std::string before = "platform:\n";
+    text.replace(text.find(before), before.size(),
+                 before + "  row_bytes: " + aLimit + "\n");
+    return DecodeNodeConfig(text);
+  };
+  BOOST_TEST(DecodeNodeConfig(kSettings).value().m_storeRowBytes == 65536U);
+  BOOST_TEST(withLimit("16384").value().m_storeRowBytes == 16384U);
+  for (const auto* limit : {"0", "-1", "8191"}) {
+    const auto refused = withLimit(limit);
+    BOOST_REQUIRE(!refused.has_value());
+    BOOST_TEST(refused.error().m_message.find("platform.row_bytes") !=
+               std::string::npos);
+  }
+}
+
 /** Guards against an error that reports only the first problem. */
 BOOST_AUTO_TEST_CASE(AllProblemsOfSettingsAreNamed) {
   const auto config = DecodeNodeConfig("ip: [1]\nlisten: {front: nonsense}\n");
@@ -155,6 +177,71 @@
   BOOST_TEST(request.value().m_queue.Value() == "long");
 }
 
+/** Guards against failed runs that the next owner does not get because their
+ *  numbers do not fit into the mask of earlier builds, and against a build of
+ *  before that finds anything else than the mask which it would have written
+ *  itself. */
+BOOST_AUTO_TEST_CASE(FailuresBeyondTheMaskAreKept) {
+  sched::FailedRuns runs = sched::FailedRunsOfMask(1);
+  sched::AddFailedRun(runs, sched::RunNumber(80));
+  sched::AddFailedRun(runs, sched::RunNumber(82));
+  using Stored = sched::StoredTask;
+  sched::StoredState state;
+  state.m_job = JobId(9);
+  state.m_occurrences = {
+      {4,
+       {{Stored::State::Open, sched::RunNumber(2), {}, {}, ""},
+        {Stored::State::Open, sched::RunNumber(82), runs, {}, "half"}}}};
+  const std::string row = EncodeJobState(state);
+  const auto read = DecodeJobState(row);
+  BOOST_REQUIRE(read.has_value());
+  const auto& tasks = read.value().m_occurrences.at(0).m_tasks;
+  BOOST_TEST((tasks.at(0).m_failedRuns == sched::FailedRuns()));
+  BOOST_TEST((tasks.at(1).m_failedRuns == runs));
+  BOOST_TEST(tasks.at(1).m_checkpoint == "half");
+  // Earlier builds read eight fields at most.
+  const auto fields = nlohmann::json::from_cbor(row);
+  BOOST_REQUIRE(fields.size() == 9U);
+  constexpr uint64_t kHighestBit = uint64_t{1} << 63;
+  BOOST_TEST((fields.at(5).at(0).at(2).at(2) == (kHighestBit | 1U)));
+  BOOST_TEST(fields.at(6).empty());
+  BOOST_TEST((fields.at(7) == 0));
+
+  const sched::StoredTaskBlock block{{JobId(9), 4, 64},
+                                     state.m_occurrences.at(0).m_tasks};
+  const auto readBlock = DecodeTaskBlock(EncodeTaskBlock(block));
+  BOOST_REQUIRE(readBlock.has_value());
+  BOOST_TEST((readBlock.value().m_key == block.m_key));
+  BOOST_TEST((readBlock.value().m_tasks.at(1).m_failedRuns == runs));
+}
+
+/** Guards against a divided state that loses a field, and against a build of
+ *  before that takes it for a job none of whose tasks was ever placed. */
+BOOST_AUTO_TEST_CASE(DividedStateIsNoRowOfAnEarlierBuild) {
+  sched::StoredState state;
+  state.m_job = JobId(9);
+  state.m_phase = sched::JobPhase::Failed;
+  state.m_nextOccurrence = 3;
+  state.m_anyStarted = true;
+  state.m_movingTo = CellId(5);
+  state.m_moveCount = 2;
+  state.m_tasksPerBlock = 65;
+  state.m_occurrences = {{1, {}}, {2, {}}};
+  const std::string row = EncodeJobState(state);
+  const auto read = DecodeJobState(row);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read.value().m_phase == state.m_phase));
+  BOOST_TEST(read.value().m_nextOccurrence == 3U);
+  BOOST_TEST(read.value().m_anyStarted);
+  BOOST_TEST((read.value().m_movingTo == CellId(5)));
+  BOOST_TEST(read.value().m_moveCount == 2U);
+  BOOST_TEST(read.value().m_tasksPerBlock == 65U);
+  BOOST_REQUIRE(read.value().m_occurrences.size() == 2U);
+  BOOST_TEST(read.value().m_occurrences[1].m_number == 2U);
+  // Earlier builds skip rows of another version than 1.
+  BOOST_TEST((nlohmann::json::from_cbor(row).at(0) == 2));
+}
+
 /** Guards against fields of a stored row that the next owner does not get. */
 BOOST_AUTO_TEST_CASE(StateRowsKeepEveryField) {
   sched::StoredState state;
@@ -165,16 +252,24 @@
   using Stored = sched::StoredTask;
   state.m_occurrences = {
       {2,
-       {{Stored::State::Open, sched::RunNumber(0), 0, {}, ""},
-        {Stored::State::Open, sched::RunNumber(4), 5, {}, "half"},
-        {Stored::State::Placed, sched::RunNumber(300), 0, RunnerId("r"), ""},
-        {Stored::State::Done, sched::RunNumber(1), 1, {}, ""}}}};
+       {{Stored::State::Open, sched::RunNumber(0), {}, {}, ""},
+        {Stored::State::Open,
+         sched::RunNumber(4),
+         sched::FailedRunsOfMask(5),
+         {},
+         "half"},
+        {Stored::State::Placed, sched::RunNumber(300), {}, RunnerId("r"), ""},
+        {Stored::State::Done,
+         sched::RunNumber(1),
+         sched::FailedRunsOfMask(1),
+         {},
+         ""}}}};
   const auto read = DecodeJobState(EncodeJobState(state));
   BOOST_REQUIRE(read.has_value());
   const auto& tasks = read.value().m_occurrences.at(0).m_tasks;
   BOOST_TEST(read.value().m_nextOccurrence == 3U);
   BOOST_TEST(read.value().m_occurrences[0].m_number == 2U);
-  BOOST_TEST(tasks.at(1).m_failedRuns == 5U);
+  BOOST_TEST((tasks.at(1).m_failedRuns == sched::FailedRunsOfMask(5)));
   BOOST_TEST(tasks[1].m_checkpoint == "half");
   BOOST_TEST(tasks[2].m_run.Value() == 300U);
   BOOST_TEST(tasks[2].m_runner.Value() == "r");
