sched: a state row has no more tasks than a commit

Found by reading the change again, not seen on real processes: a commit is limited to 10,000 tasks, and a state row was divided by its bytes only.

Change: a job with over 4,000 tasks in its state row is divided, too. With that any single row fits into an unused budget; the invariant stands beside CommitBudget and in a static_assert.

--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -20,8 +20,6 @@
 /** The clocks of two VMs may differ by far more than a job waits. */
 constexpr int64_t kMaxRestoredWaitMs = 60'000;
 
-/** Limits the time that one commit takes to encode. */
-constexpr size_t kMaxTasksPerCommit = 10000;
 /** Pause between two writes of the learned interference. What is learned in
  *  between is lost with the owner; a write for 14 images takes about 1.5 KB. */
 constexpr Duration kInterferenceStoreInterval = seconds(3);
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -194,10 +194,8 @@
   uint64_t m_storedVersion = 0;   ///< Highest version that is durable.
   bool m_specStored = false;
   /** Tasks per block of a divided job (stored_state_type.h); 0: its tasks are
-   * in its state row. Set when that row would exceed
-   * CellSettings::m_stateBytes, and never changed after that, since rows of the
-   * other form would be left.
-   */
+   * in its state row. Set when that row would be too large (TakeJobWrite), and
+   *  never changed after that, since rows of the other form would be left. */
   uint32_t m_tasksPerBlock = 0;
   bool m_dividedStored = false;  ///< The state row without tasks is durable.
   /** Set while the job moves to another cell (move_cmd.h): nothing of it is
--- a/src/core/sched/job_write_cmd.cpp
+++ b/src/core/sched/job_write_cmd.cpp
@@ -180,7 +180,8 @@
   write.m_version = aJob.m_version;
   if (aJob.m_tasksPerBlock == 0) {
     StoredState state = StateOf(aCell, aJob);
-    if (StoredBytesBound(state) <= aCell.m_settings.m_stateBytes) {
+    if (StoredBytesBound(state) <= aCell.m_settings.m_stateBytes &&
+        TaskCount(state) <= kMaxTasksPerStateRow) {
       if (!TakeStateRow(aJob, std::move(state), aBudget, write)) return {};
       return write;
     }
--- a/src/core/sched/job_write_cmd.h
+++ b/src/core/sched/job_write_cmd.h
@@ -12,11 +12,17 @@
 
 namespace bronze::sched {
 
-/** What a commit may still contain. */
+/** Tasks of one commit; limits the time that it takes to encode. */
+inline constexpr size_t kMaxTasksPerCommit = 10000;
+/** A job with more tasks in its state row is divided, however small these are:
+ *  each row must fit into a commit. */
+inline constexpr size_t kMaxTasksPerStateRow = 4000;
+static_assert(kMaxTasksPerStateRow <= kMaxTasksPerCommit);
+
+/** What a commit may still contain. Any single row fits into an unused one. */
 struct CommitBudget {
   size_t m_rows = 0;
   size_t m_bytes = 0;  ///< Of the transaction as sent.
-  /** Limits the time that one commit takes to encode. */
   size_t m_tasks = 0;
 };
 
@@ -30,7 +36,8 @@
 
 /**
  * Takes the changed rows of the job that fit into the budget. Divides the job
- * if its state row would be larger than CellSettings::m_stateBytes.
+ * if its state row would be larger than CellSettings::m_stateBytes or have more
+ * than kMaxTasksPerStateRow.
  * @return nothing if none fits.
  */
 [[nodiscard]] std::optional<JobWrite> TakeJobWrite(Cell& aCell, Job& aJob,
--- a/tests/core/sched/divided_job_test.cpp
+++ b/tests/core/sched/divided_job_test.cpp
@@ -169,6 +169,25 @@
   }
 }
 
+/** Guards against a job that no commit ever takes, and with it a cell that
+ *  stores nothing more: its row is small, but has more tasks than a commit. */
+BOOST_AUTO_TEST_CASE(ManyTasksInASmallRowAreStored) {
+  JobSpec spec = WideJob(8, 1500);
+  spec.m_steps[0].m_need.m_cores = Millicores(1000);
+  // A few tasks of each occurrence are placed.
+  spec.m_steps[0].m_antiAffinity = 8;
+  Submit(spec);
+  AdvanceJobs(m_cell, m_now, m_unixNow);
+  BOOST_TEST(StartUntilFull().size() == size_t{48} * 64);
+  const StoredState state = m_rows.StateOf(JobId(1));
+  size_t tasks = 0;
+  for (const StoredOccurrence& occurrence : state.m_occurrences) {
+    tasks += occurrence.m_tasks.size();
+  }
+  BOOST_TEST(tasks > kMaxTasksPerCommit);
+  BOOST_TEST(WideJobState().m_storedVersion == WideJobState().m_version);
+}
+
 /** Guards against a start that is ordered, an end that is acknowledged or a job
  *  that is shown as ended before all rows that a change needs are durable. */
 BOOST_AUTO_TEST_CASE(VersionIsDurableOnlyWithItsLastBlock) {
