sched: a leftover block beyond the tasks of its job is deleted

MarkBlockUnstored took the index of a leftover block for one of the job that has the id now. If that job has fewer tasks, the access was out of range and ended the process. Found by reading, not seen. Such a block belongs to no task of the job, so its row is deleted.

Test: BlockThatIsUsedAgainIsReplaced has such a block, too.

--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -193,7 +193,7 @@
   uint64_t m_version = 1;         ///< Incremented by each change to be stored.
   uint64_t m_storedVersion = 0;   ///< Highest version that is durable.
   bool m_specStored = false;
-  /** Tasks per block of a divided job (stored_state_type.h); 0: its tasks are
+  /** Tasks per block of a divided job (stored_state_type.h); 0: all tasks are
    * in its state row. Set when that row would be too large (TakeJobWrite), and
    *  never changed after that, since rows of the other form would be left. */
   uint32_t m_tasksPerBlock = 0;
--- a/src/core/sched/job_write_cmd.cpp
+++ b/src/core/sched/job_write_cmd.cpp
@@ -241,7 +241,11 @@
     return false;
   }
   const size_t at = aBlock.m_firstTask / aJob.m_tasksPerBlock;
-  found->second.m_unstoredSince.at(at) = aJob.m_storedVersion + 1;
+  if (aBlock.m_firstTask % aJob.m_tasksPerBlock != 0 ||
+      at >= found->second.m_unstoredSince.size()) {
+    return false;
+  }
+  found->second.m_unstoredSince[at] = aJob.m_storedVersion + 1;
   return true;
 }
 
--- a/tests/core/sched/divided_job_test.cpp
+++ b/tests/core/sched/divided_job_test.cpp
@@ -310,6 +310,12 @@
   CommitAllChecked();
   BOOST_TEST(m_rows.m_blocks.at(block).m_tasks.size() ==
              expected.m_tasks.size());
+  // The earlier job had more tasks.
+  const TaskBlockKey beyond{JobId(1), 0, 65 * 20};
+  m_rows.m_blocks[beyond] = expected;
+  m_cell.m_removedBlocks.push_back({beyond, 0});
+  CommitAllChecked();
+  BOOST_TEST(m_rows.m_blocks.count(beyond) == 0U);
 }
 
 /** Guards against a caller who is told that a job never runs, and who sends it
