--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -353,7 +353,7 @@
 FakeRunner::FakeRunner(ThreadPool& aThreads, Duration aTaskTime)
     : m_threads(aThreads), m_taskTime(aTaskTime) {
   m_server = std::make_unique<HttpServer>(
-      aThreads, HttpLimits(), m_counters,
+      m_threads, HttpLimits(), m_counters,
       [this](size_t, HttpCall aCall, auto aResponder) {
         bool lose = false;
         HttpReply reply = Handle(aCall, lose);
--- a/tests/codec/stored_size_test.cpp
+++ b/tests/codec/stored_size_test.cpp
@@ -52,6 +52,7 @@
 std::vector<StoredTask> AnyTasks() {
   std::vector<StoredTask> tasks;
   const int count = *rc::gen::inRange(0, 60);
+  tasks.reserve(static_cast<size_t>(count));
   for (int at = 0; at < count; ++at) tasks.push_back(AnyTask());
   return tasks;
 }
@@ -162,6 +163,7 @@
   constexpr size_t kRowBytes = 65536;
   sched::ImageInterferenceTable table;
   std::vector<sched::ImageIndex> images;
+  images.reserve(40);
   for (int at = 0; at < 40; ++at) {
     images.push_back(sched::FindOrAddImage(
         table, std::to_string(at) + std::string(100, 'i')));
--- a/tests/core/sched/cell_simulation.cpp
+++ b/tests/core/sched/cell_simulation.cpp
@@ -33,9 +33,7 @@
 
 CellSimulation::CellSimulation(uint64_t aSeed, CellSettings aSettings,
                                size_t aCommitRows)
-    : m_random(aSeed),
-      m_settings(std::move(aSettings)),
-      m_commitRows(aCommitRows) {
+    : m_random(aSeed), m_settings(aSettings), m_commitRows(aCommitRows) {
   for (int number = 0; number < kRunners; ++number) AddRunner(number);
   TakeOver();
   SubmitJobs();
--- a/tests/core/sched/divided_job_test.cpp
+++ b/tests/core/sched/divided_job_test.cpp
@@ -25,7 +25,7 @@
   /** Takes one commit and checks its limits. */
   Commit TakeChecked(size_t aRows = kRowsPerCommit) {
     const CellSettings& settings = m_cell.m_settings;
-    const Commit commit = TakeCommit(m_cell, aRows, m_now);
+    Commit commit = TakeCommit(m_cell, aRows, m_now);
     size_t rows = commit.m_removedBlocks.size() + 2 * commit.m_removed.size();
     size_t bytes = 0;
     const auto add = [&](size_t aBytes) {
