sched: one count of the tasks of an occurrence

Read again: the sum over a job's steps stood in BeginOccurrence, MayBeginOccurrence and AddTaskBlock. All three call TaskCount now. RestoreJob looks an occurrence up once instead of twice. Behaviour is unchanged.

--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -268,8 +268,7 @@
   if (aState.m_tasksPerBlock == 0 || occurrence == aState.m_occurrences.end()) {
     return false;
   }
-  size_t tasks = 0;
-  for (const StepSpec& step : aSpec.m_steps) tasks += step.m_count;
+  const size_t tasks = TaskCount(aSpec);
   const size_t first = aBlock.m_key.m_firstTask;
   if (first % aState.m_tasksPerBlock != 0 ||
       first + aBlock.m_tasks.size() > tasks) {
@@ -295,9 +294,8 @@
   IndexSteps(aCell, job);
   for (const StoredOccurrence& occurrence : aState.m_occurrences) {
     RestoreOccurrence(aCell, job, occurrence, aNow, aUnixNow);
-    std::fill(job.m_occurrences.at(occurrence.m_number).m_unstoredSince.begin(),
-              job.m_occurrences.at(occurrence.m_number).m_unstoredSince.end(),
-              0);
+    auto& since = job.m_occurrences.at(occurrence.m_number).m_unstoredSince;
+    std::fill(since.begin(), since.end(), 0);
   }
   job.m_nextOccurrence = aState.m_nextOccurrence;
   if (aState.m_phase != JobPhase::Active) {
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -209,8 +209,7 @@
 bool MayBeginOccurrence(const Cell& aCell, const Job& aJob) {
   const size_t open = aJob.m_occurrences.size();
   if (open == 0) return true;
-  size_t tasks = 0;
-  for (const StepSpec& step : aJob.m_spec.m_steps) tasks += step.m_count;
+  const size_t tasks = TaskCount(aJob.m_spec);
   return open < aCell.m_settings.m_maxOpenOccurrences &&
          (open + 1) * tasks <= aCell.m_settings.m_maxOpenTasks;
 }
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -420,12 +420,17 @@
   }
 }
 
+size_t TaskCount(const JobSpec& aSpec) {
+  size_t count = 0;
+  for (const StepSpec& step : aSpec.m_steps) count += step.m_count;
+  return count;
+}
+
 void BeginOccurrence(Cell& aCell, Job& aJob, uint32_t aNumber, TimePoint aNow) {
   Occurrence& occurrence = aJob.m_occurrences[aNumber];
-  size_t total = 0;
+  const size_t total = TaskCount(aJob.m_spec);
   for (const StepSpec& step : aJob.m_spec.m_steps) {
     occurrence.m_left.push_back(step.m_count);
-    total += step.m_count;
   }
   occurrence.m_tasks.resize(total);
   if (aJob.m_tasksPerBlock > 0) {
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -117,6 +117,9 @@
 /** Deletes the job's rows. Must precede its removal from Cell::m_jobs. */
 void RemoveRows(Cell& aCell, const Job& aJob);
 
+/** @return the number of tasks of one occurrence. */
+[[nodiscard]] size_t TaskCount(const JobSpec& aSpec);
+
 /** Creates the occurrence's tasks; steps without predecessors become ready. */
 void BeginOccurrence(Cell& aCell, Job& aJob, uint32_t aNumber, TimePoint aNow);
 
