sched: nothing is started in a data centre under evacuation

Cause: nothing read the operators' requests to evacuate a data centre.

Change: each VM reads the requests with the configuration, and owners get them with the time up to which they are complete. Placement, the decision of a start and the moment before it is sent reject runners under evacuation; an owner whose requests are older than bounds.evacuate_ms less 0.8 s starts nothing. Published loads leave out such runners, so that jobs go to other cells. Cold runners are chosen after warm ones.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -159,6 +159,10 @@
   uint64_t m_jobsAdopted = 0;    ///< Jobs that came from another cell.
   uint64_t m_windowFull = 0;     ///< Passes that the order window ended.
   uint64_t m_staleListings = 0;  ///< Passes with an old list of runners.
+  /** Passes with an old list of the operators' requests. */
+  uint64_t m_staleRequests = 0;
+  /** Starts that an evacuation stopped after they had been decided. */
+  uint64_t m_evacuatedStarts = 0;
 };
 
 /** Permission of the advice service to run a step on one runner. */
@@ -271,6 +275,8 @@
   std::map<QueueId, std::unordered_set<JobId>> m_pending;
   /** From the newest known configuration. */
   std::map<QueueId, QueueService> m_queueServices;
+  /** Data centres under evacuation. Runner::m_evacuated follows from it. */
+  std::set<DataCentreId> m_evacuations;
   Millicores m_shortDemand;  ///< Cores that short tasks hold or wait for.
   /** Exponentially decaying peak of m_shortDemand, in millicores. */
   double m_shortPeak = 0.0;
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -17,6 +17,9 @@
 /** A runner to avoid is chosen only if no other has room. */
 constexpr double kAvoidPenalty = 8.0;
 constexpr double kSlownessWeight = 0.5;
+/** A cold runner is chosen only if it has much more room than warm ones, as
+ *  everything there takes longer for a while. */
+constexpr double kColdPenalty = 0.5;
 /** Weight of the load that a best-effort task is predicted to add to
  *  latency-critical tasks. */
 constexpr double kInterferenceWeight = 3.0;
@@ -53,7 +56,7 @@
 
 bool IsReachable(const Runner& aRunner, const ServiceId& aService,
                  TimePoint aNow) {
-  return aRunner.m_listed && aRunner.m_contacted &&
+  return aRunner.m_listed && aRunner.m_contacted && !aRunner.m_evacuated &&
          !aRunner.m_entry.m_draining && aRunner.m_missedRenewals == 0 &&
          !aRunner.m_lapseStored && !aRunner.m_hasUnknownRuns &&
          aRunner.m_supersededRuns.empty() && aRunner.m_pausedUntil <= aNow &&
@@ -279,6 +282,7 @@
   if (!aQuery.m_rack.empty() && runner.m_rack == aQuery.m_rack) {
     score += kRackBonus;
   }
+  if (runner.m_coldUntil > aNow) score -= kColdPenalty;
   if (aIndex == aQuery.m_avoid) score -= kAvoidPenalty;
   if (!aBest.m_runner.IsValid() || score > aBest.m_score) {
     aBest = {aIndex, score};
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -16,7 +16,7 @@
 namespace bronze::sched {
 
 /** Whether a run may be started on the runner of that pool: it answers, stays,
- *  and all of its runs are known. */
+ *  is not under evacuation, and all of its runs are known. */
 [[nodiscard]] bool IsReachable(const Runner& aRunner, const ServiceId& aService,
                                TimePoint aNow);
 
@@ -52,8 +52,8 @@
 /** Reasons why a search rejected runners; each runner counts once, for its
  *  first reason. */
 struct PlacementTally {
-  /** Not listed, draining, unresponsive, in quarantine, or with unknown runs.
-   */
+  /** Not listed, draining, under evacuation, unresponsive, in quarantine, or
+   *  with unknown runs. */
   uint32_t m_unusable = 0;
   /** On probation after a quarantine, with its one task. */
   uint32_t m_probed = 0;
--- a/src/core/sched/route_cmd.cpp
+++ b/src/core/sched/route_cmd.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include "core/sched/cell_layout_func.h"
@@ -44,8 +45,10 @@
 }
 
 uint32_t Share(uint64_t aCores, uint64_t aOf) {
-  return static_cast<uint32_t>(aCores * kThousandths /
-                               std::max<uint64_t>(1, aOf));
+  // A cell without usable runners has no capacity, but jobs that wait.
+  return static_cast<uint32_t>(
+      std::min<uint64_t>(aCores * kThousandths / std::max<uint64_t>(1, aOf),
+                         std::numeric_limits<uint32_t>::max() / 2));
 }
 
 /** Load that competes with the job for room. */
@@ -87,6 +90,8 @@
   CellLoad load;
   std::set<std::string> kinds;
   for (const Runner& runner : aCell.m_runners) {
+    // What runs there competes with nothing that could be placed.
+    if (runner.m_evacuated) continue;
     longRunning += static_cast<uint64_t>(runner.m_longRunningCores.Value());
     shortCores += static_cast<uint64_t>(
         (runner.m_reserved.m_cores - runner.m_longRunningCores).Value());
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 
 #include "core/sched/advice_cmd.h"
+#include "core/sched/evacuation_cmd.h"
 #include "core/sched/lease_func.h"
 #include "core/sched/order_window_func.h"
 #include "core/sched/runner_internal.h"
@@ -196,6 +197,10 @@
   runner.m_entry.m_startedAt = startedAt;
   runner.m_rack = aEntry.m_labels.empty() ? "" : aEntry.m_labels.back();
   runner.m_listed = true;
+  runner.m_evacuated = IsUnderEvacuation(aCell, aEntry);
+  runner.m_coldUntil = aEntry.m_coldLeft > Duration::zero()
+                           ? aNow + aEntry.m_coldLeft
+                           : TimePoint();
   NoteRoomChange(aCell, index);
   return index;
 }
--- a/src/core/sched/runner_type.h
+++ b/src/core/sched/runner_type.h
@@ -33,6 +33,8 @@
   std::vector<std::string> m_labels;  ///< Its kind, then its rack.
   bool m_draining = false;
   UnixMillis m_startedAt;  ///< Start time of its instance; 0: unknown.
+  /** How much longer it works slowly after its start or after an evacuation. */
+  Duration m_coldLeft{};
 };
 
 enum class EndKind : uint8_t {
@@ -103,6 +105,9 @@
   RunnerEntry m_entry;
   std::string m_rack;     ///< The last label; empty if there is none.
   bool m_listed = false;  ///< Currently in the platform's list.
+  /** Its data centre is under evacuation: nothing is started there. */
+  bool m_evacuated = false;
+  TimePoint m_coldUntil;  ///< It works slowly before this time.
 
   /** Fencing token sent with each order. It is raised with each start, each
    *  renewal and for each new instance of the runner, so that an order that
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -425,6 +425,7 @@
                                   ? IsReachable(runner, service, aNow)
                                   : IsUsable(runner, service, aNow);
         if (!mayStart) {
+          if (runner.m_evacuated) ++aCell.m_counts.m_evacuatedStarts;
           Requeue(aCell, key, FindTask(aCell, key), aNow);
           continue;
         }
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -82,6 +82,7 @@
 constexpr double kDefaultLinkMbps = 1000.0;
 constexpr int64_t kDefaultConfigApplyMs = 2000;
 constexpr int64_t kDefaultDrainMs = 2000;
+constexpr int64_t kNoEvacuations = 0;
 constexpr int64_t kDefaultRowBytes = 65536;
 /** Holds a state row without tasks, and a block of several tasks. */
 constexpr int64_t kMinRowBytes = 8192;
@@ -114,6 +115,11 @@
       aReader.Millis({"bounds", "config_apply_ms"}, kDefaultConfigApplyMs);
   config.m_drainNotice =
       aReader.Millis({"bounds", "drain_ms"}, kDefaultDrainMs);
+  const int64_t evacuation =
+      aReader.Get<int64_t>({"bounds", "evacuate_ms"}, kNoEvacuations, false);
+  if (evacuation != kNoEvacuations) {
+    config.m_evacuationNotice = milliseconds(evacuation);
+  }
   config.m_grace = aReader.Seconds({"bounds", "grace_s"}, kDefaultGraceSeconds);
   config.m_maxLease =
       aReader.Millis({"bounds", "max_hold_ms"}, kDefaultMaxLeaseMs);
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -29,6 +29,9 @@
   Duration m_configApply{};    ///< A configuration is in force within this.
   /** A runner that says that it leaves gets no task later than this. */
   Duration m_drainNotice{};
+  /** Nothing is started in a data centre later than this after its evacuation
+   *  was requested; not set if the deployment has no evacuations. */
+  std::optional<Duration> m_evacuationNotice;
   Duration m_grace{};              ///< Time from SIGTERM to SIGKILL.
   Duration m_maxLease{};           ///< Runners cut longer leases to this.
   double m_spreadFactor = 1.0;     ///< Run time factor outside the data's rack.
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -143,6 +143,9 @@
 /** The operators' tables; m_part of their rows is empty. */
 inline constexpr char kOperatorTable[] = "op";
 inline constexpr char kConfigRow[] = "config";
+/** Before the name of a data centre: its evacuation is requested while the row
+ *  exists, whatever its value is. */
+inline constexpr std::string_view kEvacuationPrefix = "evacuate/";
 inline constexpr char kRunnerTable[] = "servers";
 
 }  // namespace bronze
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -14,6 +14,7 @@
 
 #include "net/address_func.h"
 #include "platform/json_reader.h"
+#include "platform/store_client.h"
 
 namespace bronze {
 
@@ -184,6 +185,13 @@
   return config;
 }
 
+std::optional<DataCentreId> EvacuatedDataCentre(std::string_view aKey) {
+  if (aKey.substr(0, kEvacuationPrefix.size()) != kEvacuationPrefix) return {};
+  const std::string_view name = aKey.substr(kEvacuationPrefix.size());
+  if (name.empty()) return {};
+  return DataCentreId(std::string(name));
+}
+
 Result<sched::RunnerEntry> DecodeRunnerEntry(const std::string& aId,
                                              std::string_view aBytes) {
   const auto body = ParseJson(aBytes);
@@ -206,6 +214,8 @@
   entry.m_draining = state == "draining";
   entry.m_startedAt =
       sched::UnixMillis(reader.Integer("born", 0, 0, kMaxExact));
+  entry.m_coldLeft =
+      milliseconds(reader.Integer("cold_left_ms", 0, 0, kMaxExact));
   if (const json::value* capacity = reader.Object("capacity")) {
     JsonReader amounts(*capacity);
     entry.m_capacity = ReadResources(amounts);
--- a/src/platform/wire_decode.h
+++ b/src/platform/wire_decode.h
@@ -6,6 +6,7 @@
 #ifndef BRONZE_PLATFORM_WIRE_DECODE_H_
 #define BRONZE_PLATFORM_WIRE_DECODE_H_
 
+#include <optional>
 #include <string_view>
 
 #include "core/error/error_type.h"
@@ -25,6 +26,11 @@
 [[nodiscard]] Result<sched::LiveConfig> DecodeLiveConfig(
     std::string_view aBytes, std::vector<std::string>& aProblems);
 
+/** @return the data centre that a row of the operators' table with this key
+ *          asks to evacuate; not set if the row is another one. */
+[[nodiscard]] std::optional<DataCentreId> EvacuatedDataCentre(
+    std::string_view aKey);
+
 /** Decodes a runner's entry in the platform's list of runners. */
 [[nodiscard]] Result<sched::RunnerEntry> DecodeRunnerEntry(
     const std::string& aId, std::string_view aBytes);
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "core/sched/evacuation_cmd.h"
 #include "core/sched/interference_func.h"
 #include "core/sched/job_cmd.h"
 #include "core/sched/lease_func.h"
@@ -75,6 +76,7 @@
 void CellOwner::SetSettings(const OwnerSettings& aSettings) {
   m_cell.m_settings = aSettings.m_cell;
   m_maxListingAge = aSettings.m_maxListingAge;
+  m_maxRequestAge = aSettings.m_maxRequestAge;
 }
 
 void CellOwner::SetConfig(const sched::LiveConfig& aConfig) {
@@ -82,6 +84,12 @@
   RequestPass();
 }
 
+void CellOwner::SetRequests(const OperatorRequests& aRequests) {
+  m_requestsConfirmedAt = aRequests.m_confirmedAt;
+  sched::SetEvacuations(m_cell, aRequests.m_evacuations);
+  RequestPass();
+}
+
 void CellOwner::SetLoads(std::vector<sched::CellLoad> aLoads) {
   if (aLoads.size() != m_loads.size()) return;
   // That of this cell is known better here.
@@ -201,6 +209,8 @@
   SendRenewals();
   if (!IsListingCurrent(now)) {
     ++m_cell.m_counts.m_staleListings;
+  } else if (!AreRequestsCurrent(now)) {
+    ++m_cell.m_counts.m_staleRequests;
   } else if (!m_onReleased) {
     sched::PlaceTasks(m_cell, now);
   }
@@ -219,9 +229,15 @@
          aNow - m_runnerWatch->ConfirmedAt() <= m_maxListingAge;
 }
 
-bool CellOwner::MayStart(TimePoint aNow) const {
+bool CellOwner::AreRequestsCurrent(TimePoint aNow) const {
+  return !m_maxRequestAge || (m_requestsConfirmedAt != TimePoint() &&
+                              aNow - m_requestsConfirmedAt <= *m_maxRequestAge);
+}
+
+bool CellOwner::MayStart(sched::RunnerIndex aRunner, TimePoint aNow) const {
   return !m_ended && !m_releaseSent && HasAuthority(aNow) &&
-         IsListingCurrent(aNow);
+         IsListingCurrent(aNow) && AreRequestsCurrent(aNow) &&
+         !m_cell.m_runners[aRunner.Value()].m_evacuated;
 }
 
 }  // namespace bronze
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "codec/job_cbor.h"
@@ -65,6 +66,16 @@
   /** Starts are sent only if the list of runners is no older than this, as a
    *  runner may have said that it leaves. */
   Duration m_maxListingAge = milliseconds(1200);
+  /** The same for the operators' requests; not set: they are applied as they
+   *  come, and their age does not count. */
+  std::optional<Duration> m_maxRequestAge;
+};
+
+/** What the operators ask for beside the configuration. */
+struct OperatorRequests {
+  std::set<DataCentreId> m_evacuations;  ///< Data centres to be evacuated.
+  /** All requests up to this time are included; zero: none was read yet. */
+  TimePoint m_confirmedAt;
 };
 
 /** One ownership of a cell, as claimed. */
@@ -95,6 +106,9 @@
   /** Applies the configuration in force. */
   void SetConfig(const sched::LiveConfig& aConfig);
 
+  /** Applies the operators' requests. */
+  void SetRequests(const OperatorRequests& aRequests);
+
   /** Sets the published loads of all cells, by cell. */
   void SetLoads(std::vector<sched::CellLoad> aLoads);
 
@@ -158,7 +172,11 @@
   [[nodiscard]] bool HasAuthority(TimePoint aNow) const;
   /** Whether the list of runners is recent enough to start tasks on them. */
   [[nodiscard]] bool IsListingCurrent(TimePoint aNow) const;
-  [[nodiscard]] bool MayStart(TimePoint aNow) const;
+  /** Whether the operators' requests are known recently enough to start tasks:
+   *  a data centre may be under evacuation. */
+  [[nodiscard]] bool AreRequestsCurrent(TimePoint aNow) const;
+  /** Whether tasks may be started on the runner. */
+  [[nodiscard]] bool MayStart(sched::RunnerIndex aRunner, TimePoint aNow) const;
 
   // cell_owner_orders.cpp
   void SendOrders();
@@ -242,6 +260,8 @@
   /** Runners of other cells; their entries need no decoding. */
   std::set<std::string> m_otherRunners;
   Duration m_maxListingAge{};
+  std::optional<Duration> m_maxRequestAge;
+  TimePoint m_requestsConfirmedAt;  ///< See OperatorRequests::m_confirmedAt.
 
   sched::Cell m_cell;
   // While loading.
--- a/src/scheduler/entry_metrics.cpp
+++ b/src/scheduler/entry_metrics.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "core/metrics/histogram_func.h"
+#include "core/sched/evacuation_cmd.h"
 #include "core/sched/restart_cmd.h"
 #include "scheduler/boot_clock.h"
 #include "scheduler/entry_node.h"
@@ -56,6 +57,17 @@
   append("jobs_adopted_total", counts.m_jobsAdopted);
   append("passes_ended_by_window_total", counts.m_windowFull);
   append("passes_without_listing_total", counts.m_staleListings);
+  append("passes_without_requests_total", counts.m_staleRequests);
+  append("starts_stopped_by_evacuation_total", counts.m_evacuatedStarts);
+  for (const sched::EvacuationProgress& progress :
+       sched::EvacuationsOf(aCell)) {
+    const std::string label = fmt::format("{},data_centre=\"{}\"", aLabel,
+                                          progress.m_dataCentre.Value());
+    AppendCount(aText, fmt::format("evacuated_runners{{{}}}", label),
+                progress.m_runners);
+    AppendCount(aText, fmt::format("evacuated_tasks{{{}}}", label),
+                progress.m_tasks);
+  }
   append("queued_steps", aCell.m_queue.size());
   append("runners", aCell.m_runners.size());
   append("starts_in_flight", aCell.m_window.m_inFlight);
@@ -100,6 +112,14 @@
   AppendCount(text, "log_dropped_total", m_log.Dropped());
   AppendCount(text, "config_version", Config()->m_version.Value());
   AppendCount(text, "cells", m_layout.m_cells);
+  if (m_requests) {
+    for (const DataCentreId& dataCentre : m_requests->m_evacuations) {
+      AppendCount(
+          text,
+          fmt::format("evacuation{{data_centre=\"{}\"}}", dataCentre.Value()),
+          1);
+    }
+  }
   AppendPrometheus(m_answerTimes, "bronze_caller_answer_seconds", "", text);
   for (const auto& election : m_elections) {
     const auto owner = election->LocalOwner();
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -61,8 +61,10 @@
   m_operatorWatch = std::make_shared<TableWatch>(
       aTraffic, m_configStore, m_log, kOperatorTable,
       ConfigWatchTiming(aConfig),
-      TableListener{[this](const StoreRow& aRow) { OnConfigRow(aRow); },
-                    [](const std::string&) {}});
+      TableListener{
+          [this](const StoreRow& aRow) { OnOperatorRow(aRow); },
+          [this](const std::string& aKey) { OnOperatorRowRemoved(aKey); },
+          [this] { PostRequests(); }});
 }
 
 void EntryNode::Run() {
@@ -97,6 +99,7 @@
         m_context, links, m_directory, m_log, CellId(cell), aLayout, identity,
         OwnerSettingsOf(m_config)));
     if (m_hasConfig) m_elections.back()->SetConfig(Config());
+    if (m_requests) m_elections.back()->SetRequests(m_requests);
     if (m_draining) m_elections.back()->HandOver([] {});
   }
   m_ready = m_hasConfig && !m_draining;
@@ -121,8 +124,39 @@
   return m_liveConfig;
 }
 
+void EntryNode::OnOperatorRow(const StoreRow& aRow) {
+  if (aRow.m_key.m_key == kConfigRow) {
+    OnConfigRow(aRow);
+    return;
+  }
+  const auto dataCentre = EvacuatedDataCentre(aRow.m_key.m_key);
+  if (!dataCentre || !m_readEvacuations.insert(*dataCentre).second) return;
+  m_log.Write("[config]", "evacuation requested data_centre={}",
+              dataCentre->Value());
+  PostRequests();
+}
+
+void EntryNode::OnOperatorRowRemoved(const std::string& aKey) {
+  const auto dataCentre = EvacuatedDataCentre(aKey);
+  if (!dataCentre || m_readEvacuations.erase(*dataCentre) == 0) return;
+  m_log.Write("[config]", "evacuation request removed data_centre={}",
+              dataCentre->Value());
+  PostRequests();
+}
+
+void EntryNode::PostRequests() {
+  auto requests = std::make_shared<const OperatorRequests>(
+      OperatorRequests{m_readEvacuations, m_operatorWatch->ConfirmedAt()});
+  boost::asio::post(m_context, [this, requests] { ApplyRequests(requests); });
+}
+
+void EntryNode::ApplyRequests(
+    std::shared_ptr<const OperatorRequests> aRequests) {
+  for (const auto& election : m_elections) election->SetRequests(aRequests);
+  m_requests = std::move(aRequests);
+}
+
 void EntryNode::OnConfigRow(const StoreRow& aRow) {
-  if (aRow.m_key.m_key != kConfigRow) return;
   std::vector<std::string> problems;
   auto config = DecodeLiveConfig(aRow.m_value, problems);
   for (const std::string& problem : problems) {
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -76,9 +77,15 @@
     AnswerHandler m_handler;
   };
 
-  /** Called on the traffic thread. */
+  // Called on the traffic thread.
+  void OnOperatorRow(const StoreRow& aRow);
+  void OnOperatorRowRemoved(const std::string& aKey);
   void OnConfigRow(const StoreRow& aRow);
+  /** Passes the operators' requests as read to the control loop. */
+  void PostRequests();
+
   void ApplyConfig(std::shared_ptr<const sched::LiveConfig> aConfig);
+  void ApplyRequests(std::shared_ptr<const OperatorRequests> aRequests);
   void BeginCells(sched::CellLayout aLayout);
   void OnDirectoryRead();
   void Serve(CallerRequest aRequest, const SharedResponder& aResponder);
@@ -139,6 +146,7 @@
   std::vector<std::shared_ptr<OwnerElection>> m_elections;  ///< By CellId.
   StoreClient m_configStore;  ///< Used on the traffic thread.
   std::shared_ptr<TableWatch> m_operatorWatch;
+  std::set<DataCentreId> m_readEvacuations;  ///< Used on the traffic thread.
   boost::asio::steady_timer m_drainTimer;
   boost::asio::steady_timer m_housekeepingTimer;
 
@@ -157,6 +165,7 @@
       m_configMutex;  ///< Guards m_liveConfig, read by traffic threads.
   std::shared_ptr<const sched::LiveConfig> m_liveConfig;
   bool m_hasConfig = false;  ///< Some configuration is in force.
+  std::shared_ptr<const OperatorRequests> m_requests;  ///< Null: none read yet.
   std::atomic<bool> m_ready = false;
   bool m_draining = false;
   TimePoint m_drainBegunAt;
--- a/src/scheduler/node_policy.cpp
+++ b/src/scheduler/node_policy.cpp
@@ -20,6 +20,8 @@
 /** A start may be on its way for this long after it was decided. */
 constexpr Duration kOrderTime = milliseconds(800);
 constexpr Duration kMinListingAge = milliseconds(600);
+/** The operators' requests are read each 0.2 s to 5 s (ConfigWatchTiming). */
+constexpr Duration kMinRequestAge = milliseconds(1800);
 
 /** Runners per Mbit/s of a VM's link: a runner takes some 4 KB/s, and its cell
  *  may use a quarter of the link. */
@@ -56,6 +58,10 @@
   settings.m_cell.m_stateBytes = settings.m_cell.m_rowBytes;
   settings.m_maxListingAge =
       std::max(aConfig.m_drainNotice - kOrderTime, Duration(kMinListingAge));
+  if (aConfig.m_evacuationNotice) {
+    settings.m_maxRequestAge = std::max(
+        *aConfig.m_evacuationNotice - kOrderTime, Duration(kMinRequestAge));
+  }
   return settings;
 }
 
--- a/src/scheduler/owner_election.cpp
+++ b/src/scheduler/owner_election.cpp
@@ -56,6 +56,12 @@
   if (m_owner) m_owner->SetConfig(*m_config);
 }
 
+void OwnerElection::SetRequests(
+    std::shared_ptr<const OperatorRequests> aRequests) {
+  m_requests = std::move(aRequests);
+  if (m_owner) m_owner->SetRequests(*m_requests);
+}
+
 std::shared_ptr<CellOwner> OwnerElection::LocalOwner() const {
   return m_owner && m_owner->IsScheduling() ? m_owner : nullptr;
 }
@@ -236,6 +242,7 @@
                                     self->m_directory.Refresh();
                                   });
   if (m_config) m_owner->SetConfig(*m_config);
+  if (m_requests) m_owner->SetRequests(*m_requests);
   m_owner->Start();
   // The claim was on its way when the process was told to end.
   if (m_handingOver) HandOver([] {});
--- a/src/scheduler/owner_election.h
+++ b/src/scheduler/owner_election.h
@@ -48,6 +48,9 @@
   /** Sets the configuration in force; passed on to a running owner. */
   void SetConfig(std::shared_ptr<const sched::LiveConfig> aConfig);
 
+  /** Sets the operators' requests; passed on to a running owner. */
+  void SetRequests(std::shared_ptr<const OperatorRequests> aRequests);
+
   /** @return the owner if this daemon schedules the cell, or null. */
   [[nodiscard]] std::shared_ptr<CellOwner> LocalOwner() const;
 
@@ -96,7 +99,8 @@
   bool m_claiming = false;  ///< A claim has no answer yet.
   bool m_handingOver = false;
   std::shared_ptr<CellOwner> m_owner;
-  std::shared_ptr<const sched::LiveConfig> m_config;  ///< Null: none read yet.
+  std::shared_ptr<const sched::LiveConfig> m_config;   ///< Null: none read yet.
+  std::shared_ptr<const OperatorRequests> m_requests;  ///< Null: as m_config.
 };
 
 }  // namespace bronze
--- a/src/scheduler/table_watch.cpp
+++ b/src/scheduler/table_watch.cpp
@@ -77,7 +77,7 @@
     m_known.erase(key);
     m_listener.m_removed(key);
   }
-  m_confirmedAt = m_askedAt;
+  Confirm();
   Continue(aResult, anyChange);
 }
 
@@ -126,10 +126,15 @@
     anyChange = Apply(row) || anyChange;
   }
   m_version = std::max(m_version, aResult.m_version);
-  m_confirmedAt = m_askedAt;
+  Confirm();
   Continue(aResult, anyChange);
 }
 
+void TableWatch::Confirm() {
+  m_confirmedAt = m_askedAt;
+  if (m_listener.m_confirmed) m_listener.m_confirmed();
+}
+
 void TableWatch::Retry() {
   if (m_reachable) {
     m_log.Write("[store]", "table cannot be read, retrying table={} version={}",
--- a/src/scheduler/table_watch.h
+++ b/src/scheduler/table_watch.h
@@ -19,10 +19,12 @@
 
 namespace bronze {
 
-/** Callbacks for rows of a watched table; called on the control thread. */
+/** Callbacks for rows of a watched table; called on the thread of the watch. */
 struct TableListener {
   std::function<void(const StoreRow&)> m_changed;
   std::function<void(const std::string& aKey)> m_removed;
+  /** All changes up to TableWatch::ConfirmedAt were reported; may be empty. */
+  std::function<void()> m_confirmed = nullptr;
 };
 
 /** How often a table is asked for changes. */
@@ -59,6 +61,8 @@
   void Continue(const RowsResult& aResult, bool aAnyChange);
   void WatchChanges();
   void OnChanges(RowsResult aResult);
+  /** All changes up to the pending call were reported. */
+  void Confirm();
   void Retry();
   /** @return whether the row has changed. */
   bool Apply(const StoreRow& aRow);
--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -158,7 +158,10 @@
   bool loses = false;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    refuses = m_faults.m_refusesCalls || m_faults.m_refusedServer == aFront;
+    refuses =
+        m_faults.m_refusesCalls || m_faults.m_refusedServer == aFront ||
+        (!m_faults.m_unreadableTable.empty() &&
+         QueryValue(aCall.m_target, "table") == m_faults.m_unreadableTable);
     ++m_calls;
     limits = m_faults.m_refusesEach > 0 && m_calls >= m_faults.m_refusesEach &&
              m_calls % m_faults.m_refusesEach < m_faults.m_refusedInRow;
--- a/src/standin/row_store.h
+++ b/src/standin/row_store.h
@@ -50,6 +50,8 @@
   Duration m_commitDelay{};  ///< From a transaction to its answer.
   /** Answers transactions that put a row with this key with 400. */
   std::string m_rejectedKey;
+  /** Answers reads of this table, and waits for its changes, with 503. */
+  std::string m_unreadableTable;
 };
 
 /** Faults of the runner that are active. */
--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -54,6 +54,7 @@
     // The platform's usual bounds.
     config.m_configApply = seconds(2);
     config.m_drainNotice = seconds(2);
+    config.m_evacuationNotice = seconds(5);
     m_node = std::make_unique<EntryNode>(m_threads.Context(0), config,
                                          ++sIncarnation,
                                          [this] { return SettingsText(); });
@@ -153,23 +154,25 @@
   }
 
   void AddRunner(const std::string& aName, Duration aTaskTime,
-                 const std::string& aRack = "rack1") {
+                 const std::string& aRack = "rack1",
+                 const std::string& aDataCentre = "z") {
     m_runners.push_back(
         std::make_unique<standin::FakeRunner>(m_platformThreads, aTaskTime));
     m_runnerAddresses.push_back(m_runners.back()->Listen());
-    PutRunner(aName, m_runnerAddresses.back(), aRack);
+    PutRunner(aName, m_runnerAddresses.back(), aRack, aDataCentre);
   }
 
   void PutRunner(const std::string& aName,
                  const boost::asio::ip::tcp::endpoint& aAddress,
-                 const std::string& aRack = "rack1") {
+                 const std::string& aRack = "rack1",
+                 const std::string& aDataCentre = "z") {
     m_store.Put(
         "servers", "", aName,
         fmt::format(
-            R"({{"service":"pool","address":"{}","zone":"z","version":"v1",)"
+            R"({{"service":"pool","address":"{}","zone":"{}","version":"v1",)"
             R"("slots":8,"state":"ready","born":1,"capacity":{{"cpu":16000,)"
             R"("mem_mb":32000}},"labels":["a","{}"],"sequence":1}})",
-            AddressText(aAddress), aRack));
+            AddressText(aAddress), aDataCentre, aRack));
   }
 
   /** @param aOwnStoreAddress gives the node a store address of its own, so that
--- a/tests/scheduler/platform_decode_test.cpp
+++ b/tests/scheduler/platform_decode_test.cpp
@@ -69,6 +69,36 @@
   }
 }
 
+/** Guards against deployments without evacuations whose starts depend on the
+ * age of the operators' requests, and against a bound that is ignored. */
+BOOST_AUTO_TEST_CASE(EvacuationNoticeIsRead) {
+  BOOST_TEST(!DecodeNodeConfig(kSettings).value().m_evacuationNotice);
+  std::string text = kSettings;
+  const std::string before = "bounds:\n";
+  text.replace(text.find(before), before.size(),
+               before + "  evacuate_ms: 5000\n");
+  BOOST_TEST((DecodeNodeConfig(text).value().m_evacuationNotice == seconds(5)));
+}
+
+/** Guards against other rows of the operators' table that are taken for a
+ *  request, and against runners that are refused for the new field. */
+BOOST_AUTO_TEST_CASE(EvacuationsAndColdRunnersAreDecoded) {
+  BOOST_TEST(EvacuatedDataCentre("evacuate/a-1")->Value() == "a-1");
+  for (const auto* key : {"evacuate/", "evacuate", "config", "", "x/a"}) {
+    BOOST_TEST(!EvacuatedDataCentre(key), key);
+  }
+  const auto entry = [](const std::string& aField) {
+    return DecodeRunnerEntry(
+        "r", R"({"service":"s","address":"127.0.0.1:1","zone":"a",)"
+             R"("state":"ready","capacity":{"cpu":1})" +
+                 aField + "}");
+  };
+  BOOST_TEST((entry("").value().m_coldLeft == Duration::zero()));
+  const auto cold = entry(R"(,"cold_left_ms":1250.5)");
+  BOOST_TEST((cold.value().m_coldLeft == milliseconds(1250)));
+  BOOST_TEST(!entry(R"(,"cold_left_ms":"soon")").has_value());
+}
+
 /** Guards against an error that reports only the first problem. */
 BOOST_AUTO_TEST_CASE(AllProblemsOfSettingsAreNamed) {
   const auto config = DecodeNodeConfig("ip: [1]\nlisten: {front: nonsense}\n");
