sched: findings of the review of evacuations

Cause, found by a reviewer: the wait for changes of the operators' table followed bounds.config_apply_ms only, so that with a long one or a short bounds.evacuate_ms starts were held back for a part of the time (computed: 0.25 of it at 5,000 and 5,000 ms). Jobs that require a label which their cell has lost did not move, nor did jobs behind 64 that cannot move. Starts that were stopped right before they were sent were not counted; names of data centres may have corrupted metrics; a negative bound was accepted.

Change: the wait is at most half of the largest age less 0.9 s. A cell that cannot run a job is worse than any other; only jobs that may move count towards the limit of a call.

Result: sched_cell_test (164 cases), platform_decode_test and EvacuationNodeSuite pass.

--- a/src/core/sched/move_cmd.cpp
+++ b/src/core/sched/move_cmd.cpp
@@ -21,7 +21,8 @@
 constexpr Duration kMoveAfter = milliseconds(250);
 /** Limit per call: published loads do not contain what has moved since. */
 constexpr size_t kMaxMoves = 6;
-/** Queued steps that are examined per call. */
+/** Queued steps per call for which another cell is sought. Those of jobs that
+ *  cannot move do not count, so that they hide no others. */
 constexpr size_t kMaxExamined = 64;
 /** Least difference of loads, in thousandths, that is worth a move. */
 constexpr uint32_t kMinGain = 120;
@@ -73,9 +74,10 @@
   size_t examined = 0;
   const std::vector<QueueKey> keys(aCell.m_queue.begin(), aCell.m_queue.end());
   for (const QueueKey& key : keys) {
-    if (moved >= kMaxMoves || ++examined > kMaxExamined) break;
+    if (moved >= kMaxMoves || examined >= kMaxExamined) break;
     Job& job = aCell.m_jobs.at(key.m_job);
-    if (!MayMove(job) || !HasWaited(job, key, aNow)) continue;
+    if (!HasWaited(job, key, aNow) || !MayMove(job)) continue;
+    ++examined;
     const auto target = LeastLoadedCell(aOwn, aLoads, job.m_spec, kMinGain);
     if (!target) continue;
     AddJob(aLoads[target->Value()], job.m_spec);
--- a/src/core/sched/route_cmd.cpp
+++ b/src/core/sched/route_cmd.cpp
@@ -150,6 +150,10 @@
   std::optional<CellId> best;
   uint32_t bestLoad = CompetingLoad(aLoads[aOwn.Value()], aSpec);
   bestLoad -= std::min(bestLoad, aMinGain);
+  // A cell that cannot run the job is worse than any other.
+  if (!HasKinds(aLoads[aOwn.Value()], aSpec)) {
+    bestLoad = std::numeric_limits<uint32_t>::max();
+  }
   for (uint32_t at = 0; at < aLoads.size(); ++at) {
     const CellId cell(at);
     if (cell == aOwn || !HasKinds(aLoads[at], aSpec)) continue;
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -117,7 +117,11 @@
       aReader.Millis({"bounds", "drain_ms"}, kDefaultDrainMs);
   const int64_t evacuation =
       aReader.Get<int64_t>({"bounds", "evacuate_ms"}, kNoEvacuations, false);
-  if (evacuation != kNoEvacuations) {
+  if (evacuation < kNoEvacuations) {
+    aReader.Problem(fmt::format(
+        "bounds.evacuate_ms is {}; it cannot be negative", evacuation));
+  }
+  if (evacuation > kNoEvacuations) {
     config.m_evacuationNotice = milliseconds(evacuation);
   }
   config.m_grace = aReader.Seconds({"bounds", "grace_s"}, kDefaultGraceSeconds);
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -188,7 +188,13 @@
 std::optional<DataCentreId> EvacuatedDataCentre(std::string_view aKey) {
   if (aKey.substr(0, kEvacuationPrefix.size()) != kEvacuationPrefix) return {};
   const std::string_view name = aKey.substr(kEvacuationPrefix.size());
-  if (name.empty()) return {};
+  // Names become labels of metrics and parts of log lines.
+  const bool isName =
+      !name.empty() && std::all_of(name.begin(), name.end(), [](char aByte) {
+        return std::isalnum(static_cast<unsigned char>(aByte)) != 0 ||
+               aByte == '-' || aByte == '_' || aByte == '.';
+      });
+  if (!isName) return {};
   return DataCentreId(std::string(name));
 }
 
--- a/src/scheduler/cell_owner_orders.cpp
+++ b/src/scheduler/cell_owner_orders.cpp
@@ -43,6 +43,9 @@
   // Checked right before each start: this VM may have been suspended for so
   // long that another daemon schedules the cell by now.
   if (!MayStart(aOrder.m_runner, now)) {
+    if (m_cell.m_runners[aOrder.m_runner.Value()].m_evacuated) {
+      ++m_cell.m_counts.m_evacuatedStarts;
+    }
     sched::ApplyStartAnswer(m_cell, aOrder, sched::OrderOutcome::Withdrawn, {},
                             now);
     return;
--- a/src/scheduler/node_policy.cpp
+++ b/src/scheduler/node_policy.cpp
@@ -20,8 +20,9 @@
 /** A start may be on its way for this long after it was decided. */
 constexpr Duration kOrderTime = milliseconds(800);
 constexpr Duration kMinListingAge = milliseconds(600);
-/** The operators' requests are read each 0.2 s to 5 s (ConfigWatchTiming). */
-constexpr Duration kMinRequestAge = milliseconds(1800);
+/** The operators' requests are up to two waits for changes old, and a slow
+ *  answer older by this. */
+constexpr Duration kRequestAnswerTime = milliseconds(900);
 
 /** Runners per Mbit/s of a VM's link: a runner takes some 4 KB/s, and its cell
  *  may use a quarter of the link. */
@@ -43,6 +44,12 @@
 constexpr Duration kMinConfigWait = milliseconds(200);
 constexpr Duration kMaxConfigWait = seconds(5);
 
+/** @return how old the operators' requests may be when a task is started. */
+Duration MaxRequestAge(Duration aNotice) {
+  return std::max<Duration>(aNotice - kOrderTime,
+                            2 * kMinConfigWait + kRequestAnswerTime);
+}
+
 }  // namespace
 
 OwnerSettings OwnerSettingsOf(const NodeConfig& aConfig) {
@@ -59,8 +66,7 @@
   settings.m_maxListingAge =
       std::max(aConfig.m_drainNotice - kOrderTime, Duration(kMinListingAge));
   if (aConfig.m_evacuationNotice) {
-    settings.m_maxRequestAge = std::max(
-        *aConfig.m_evacuationNotice - kOrderTime, Duration(kMinRequestAge));
+    settings.m_maxRequestAge = MaxRequestAge(*aConfig.m_evacuationNotice);
   }
   return settings;
 }
@@ -87,6 +93,10 @@
   timing.m_wait =
       std::clamp<Duration>((aConfig.m_configApply - kSecondReadTime) / 2,
                            kMinConfigWait, kMaxConfigWait);
+  if (aConfig.m_evacuationNotice) {
+    const Duration maxAge = MaxRequestAge(*aConfig.m_evacuationNotice);
+    timing.m_wait = std::min(timing.m_wait, (maxAge - kRequestAnswerTime) / 2);
+  }
   timing.m_newestOnly = true;
   return timing;
 }
