--- a/src/standin/fake_runner.cpp
+++ b/src/standin/fake_runner.cpp
@@ -32,11 +32,30 @@
         if (lose) {
           aResponder->Abort();
         } else {
-          aResponder->Reply(std::move(reply));
+          ReplyTo(aCall, std::move(reply), aResponder);
         }
       });
 }
 
+void FakeRunner::ReplyTo(const HttpCall& aCall, HttpReply aReply,
+                         const std::shared_ptr<HttpResponder>& aResponder) {
+  Duration delay{};
+  if (aCall.m_target == "/bronzeworks/run-start") {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    delay = m_faults.m_startDelay;
+  }
+  if (delay == Duration(0)) {
+    aResponder->Reply(std::move(aReply));
+    return;
+  }
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(m_threads.Context(0), delay);
+  timer->async_wait([timer, reply = std::move(aReply),
+                     aResponder](boost::system::error_code aError) mutable {
+    if (!aError) aResponder->Reply(std::move(reply));
+  });
+}
+
 boost::asio::ip::tcp::endpoint FakeRunner::Listen() {
   return m_server->Listen({boost::asio::ip::address_v4::loopback(), 0}).value();
 }
--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -6,6 +6,7 @@
 
 #include "standin/row_store.h"
 
+#include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/url/pct_string_view.hpp>
 #include <nlohmann/json.hpp>
@@ -101,6 +102,11 @@
       .value();
 }
 
+void RowStore::Write(const Key& aKey, const Row& aRow) {
+  m_rows[aKey] = aRow;
+  m_changes.emplace_back(aKey, aRow);
+}
+
 void RowStore::SetFaults(RowStoreFaults aFaults) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_faults = aFaults;
@@ -109,13 +115,13 @@
 void RowStore::Put(const std::string& aTable, const std::string& aPart,
                    const std::string& aKey, const std::string& aValue) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_rows[{aTable, aPart, aKey}] = {aValue, ++m_version, false};
+  Write({aTable, aPart, aKey}, {aValue, ++m_version, false});
 }
 
 void RowStore::Remove(const std::string& aTable, const std::string& aPart,
                       const std::string& aKey) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_rows[{aTable, aPart, aKey}] = {"", ++m_version, true};
+  Write({aTable, aPart, aKey}, {"", ++m_version, true});
 }
 
 std::string RowStore::Value(const std::string& aTable, const std::string& aPart,
@@ -236,10 +242,10 @@
   }
   ++m_version;
   for (const Json& put : body.at("put")) {
-    m_rows[KeyOf(put)] = {Decode64(put.at("value")), m_version, false};
+    Write(KeyOf(put), {Decode64(put.at("value")), m_version, false});
   }
   for (const Json& removed : body.at("remove")) {
-    m_rows[KeyOf(removed)] = {"", m_version, true};
+    Write(KeyOf(removed), {"", m_version, true});
   }
   return JsonReply(200, {{"ver", m_version}, {"now_ms", NowMillis()}});
 }
@@ -308,12 +314,30 @@
     return true;
   }
   Json rows = Json::array();
-  for (const auto& [key, row] : m_rows) {
-    if (std::get<0>(key) != table || row.m_version <= after) continue;
+  uint64_t version = m_version;
+  size_t bytes = 0;
+  const auto first =
+      std::upper_bound(m_changes.begin(), m_changes.end(), after,
+                       [](uint64_t aVersion, const auto& aChange) {
+                         return aVersion < aChange.second.m_version;
+                       });
+  for (auto at = first; at != m_changes.end(); ++at) {
+    const auto& [key, row] = *at;
+    if (std::get<0>(key) != table) continue;
+    bytes += row.m_value.size();
+    const bool isFull =
+        rows.size() >= m_limits.m_answerRows || bytes > m_limits.m_answerBytes;
+    // The rows of one transaction share a version and stay together, as the
+    // caller continues after a version.
+    if (isFull && !rows.empty() &&
+        rows.back().at("ver").get<uint64_t>() != row.m_version) {
+      version = rows.back().at("ver");
+      break;
+    }
     rows.push_back(RowJson(key, row.m_value, row.m_version, row.m_deleted));
   }
   aReply = JsonReply(
-      200, {{"rows", rows}, {"ver", m_version}, {"now_ms", NowMillis()}});
+      200, {{"rows", rows}, {"ver", version}, {"now_ms", NowMillis()}});
   return !rows.empty();
 }
 
--- a/src/standin/row_store.h
+++ b/src/standin/row_store.h
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "net/http_server.h"
@@ -57,6 +58,7 @@
   bool m_losesStartAnswers = false;  ///< Carries out starts without an answer.
   bool m_failsTasks = false;         ///< Ends tasks as failed.
   bool m_refusesStarts = false;      ///< Answers starts with 503.
+  Duration m_startDelay{};           ///< From a start to its answer.
   /** Ends all runs as stopped, with a checkpoint of this length; 0: none. */
   size_t m_stopsWithCheckpoint = 0;
 };
@@ -100,11 +102,13 @@
   struct Row {
     std::string m_value;
     uint64_t m_version = 0;
-    bool m_deleted = false;  ///< Kept, so that the change can be read.
+    bool m_deleted = false;
   };
 
   void Handle(int aFront, size_t aThread, const HttpCall& aCall,
               const std::shared_ptr<HttpResponder>& aResponder);
+  /** Sets a row, and keeps the change for those that wait for changes. */
+  void Write(const Key& aKey, const Row& aRow);
   HttpReply Transact(const HttpCall& aCall);
   /** @return the status of a transaction that the store does not accept,
    *  whatever its rows contain; 0: it does. */
@@ -114,7 +118,10 @@
   void ReplyToTransaction(size_t aThread, HttpReply aReply,
                           const std::shared_ptr<HttpResponder>& aResponder);
   HttpReply ReadRange(const HttpCall& aCall);
-  /** @return false if no row has changed since the version in the call. */
+  /** Answers with all changes since the version in the call, not only with the
+   *  newest of each row, up to the limits of an answer. The version in a
+   * partial answer is that of its last row, and nothing else marks it.
+   *  @return false if no row has changed. */
   bool ReadChanges(const HttpCall& aCall, HttpReply& aReply);
   /** Answers once a row has changed, or after aPollsLeft further polls. */
   void AwaitChanges(size_t aThread, const HttpCall& aCall,
@@ -126,6 +133,7 @@
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::mutex m_mutex;  ///< Guards all below.
   std::map<Key, Row> m_rows;
+  std::vector<std::pair<Key, Row>> m_changes;  ///< All, in their order.
   uint64_t m_version = 0;
   RowStoreLimits m_limits;
   uint64_t m_invalidTransactions = 0;
@@ -171,6 +179,9 @@
   };
 
   HttpReply Handle(const HttpCall& aCall, bool& aLoseAnswer);
+  /** Answers a call, with the faults of such answers. */
+  void ReplyTo(const HttpCall& aCall, HttpReply aReply,
+               const std::shared_ptr<HttpResponder>& aResponder);
   /** Ends the runs whose time is over or whose lease has ended. */
   void Advance();
   void EndRun(const std::string& aTask, const std::string& aKind,
