sched: a start that waited is not sent to a runner that leaves

Cause: right before a start is sent, the age of the list of runners was checked, but not what the list says of this runner by then. With a list of 2.2 s, 0.6 s of wait for a connection and 0.6 s to open one, a start could arrive 3.4 s after the runner had said that it leaves, more than the notice of 3 s.

Change: MayStart is asked for the runner, which has to be listed and not drain.

The new test, on the code before:

leaving_runner_test.cpp(109): error: in "LeavingRunnerSuite/ WaitingStartIsNotSentToALeavingRunner": check started() == before has failed [8 != 4]

--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -241,9 +241,13 @@
       std::chrono::duration_cast<milliseconds>(m_maxListingAge).count());
 }
 
-bool CellOwner::MayStart(TimePoint aNow) const {
+bool CellOwner::MayStart(sched::RunnerIndex aRunner, TimePoint aNow) const {
+  // The runner may have said that it leaves while the start waited for a
+  // connection.
+  const sched::Runner& runner = m_cell.m_runners[aRunner.Value()];
   return !m_ended && !m_releaseSent && HasAuthority(aNow) &&
-         IsListingCurrent(aNow);
+         IsListingCurrent(aNow) && runner.m_listed &&
+         !runner.m_entry.m_draining;
 }
 
 }  // namespace bronze
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -161,7 +161,8 @@
   /** Logs when the list of runners has been too old for some time, and when it
    *  is so no more. */
   void LogListingAge(TimePoint aNow);
-  [[nodiscard]] bool MayStart(TimePoint aNow) const;
+  /** Whether tasks may be started on the runner. */
+  [[nodiscard]] bool MayStart(sched::RunnerIndex aRunner, TimePoint aNow) const;
 
   // cell_owner_orders.cpp
   void SendOrders();
--- a/src/scheduler/cell_owner_orders.cpp
+++ b/src/scheduler/cell_owner_orders.cpp
@@ -42,7 +42,7 @@
   const TimePoint now = BootNow();
   // Checked right before each start: this VM may have been suspended for so
   // long that another daemon schedules the cell by now.
-  if (!MayStart(now)) {
+  if (!MayStart(aOrder.m_runner, now)) {
     sched::ApplyStartAnswer(m_cell, aOrder, sched::OrderOutcome::Withdrawn, {},
                             now);
     return;
@@ -56,7 +56,9 @@
   m_links.m_runners.Start(
       target, aOrder, m_cell.m_jobs.at(aOrder.m_task.m_job).m_spec.m_payload,
       deadline,
-      [self = shared_from_this()] { return self->MayStart(BootNow()); },
+      [self = shared_from_this(), runner = aOrder.m_runner] {
+        return self->MayStart(runner, BootNow());
+      },
       [self = shared_from_this(), aOrder, target](OrderAnswer aAnswer) {
         if (self->m_ended || self->StepDownIfFenced(target, aOrder.m_runner,
                                                     aAnswer.m_outcome)) {
--- a/tests/scheduler/leaving_runner_test.cpp
+++ b/tests/scheduler/leaving_runner_test.cpp
@@ -77,6 +77,43 @@
   for (const std::string& job : jobs) BOOST_TEST(BecomesCompleted(node, job));
 }
 
+/** Guards against a start that waits for a connection and is sent although the
+ *  runner has said meanwhile that it leaves. */
+BOOST_AUTO_TEST_CASE(WaitingStartIsNotSentToALeavingRunner) {
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, "00000000000000a1"));
+  BOOST_REQUIRE(BecomesCompleted(node, "00000000000000a1"));
+  standin::FakeRunnerFaults faults;
+  faults.m_startDelay = milliseconds(550);
+  m_runners[0]->SetFaults(faults);
+  // After an answer, the owner pauses before it waits for changes again.
+  PutState(1, "draining");
+  std::this_thread::sleep_for(milliseconds(350));
+  const std::string job = "00000000000000a2";
+  BOOST_REQUIRE(Call(node, "POST", "/queue/" + job,
+                     R"({"spec":"s","steps":[{"count":12,"cpu":100,)"
+                     R"("mem_mb":10,"estimate_ms":100}]})")
+                    .m_status == 200);
+  const auto started = [&] {
+    size_t count = 0;
+    for (const auto& [task, starts] : m_runners[0]->Starts()) {
+      count += task.rfind(job, 0) == 0 ? 1 : 0;
+    }
+    return count;
+  };
+  BOOST_REQUIRE(Eventually([&] { return started() > 0; }));
+  std::this_thread::sleep_for(milliseconds(50));
+  const size_t before = started();
+  PutState(0, "draining");
+  std::this_thread::sleep_for(milliseconds(1500));
+  BOOST_TEST(started() == before);
+  BOOST_TEST(before < 12U);
+  faults.m_startDelay = {};
+  m_runners[0]->SetFaults(faults);
+  PutState(0, "ready");
+  BOOST_TEST(BecomesCompleted(node, job));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
