--- a/tests/scheduler/platform_client_test.cpp
+++ b/tests/scheduler/platform_client_test.cpp
@@ -202,7 +202,7 @@
   BOOST_TEST(unreadable.m_rows.size() == kAnswerRows - 1);
   BOOST_TEST(unreadable.m_isFull);
   // Few large rows.
-  constexpr size_t kLargeValue = 65536 / 3 * 4;
+  constexpr size_t kLargeValue = size_t{65536} / 3 * 4;
   const std::string large =
       R"({"table": "t", "part": "", "key": "k", "ver": 3, "value": ")" +
       std::string(kLargeValue, 'A') + "\"}";
