--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -175,6 +175,9 @@
   /** Whether the operators' requests are known recently enough to start tasks:
    *  a data centre may be under evacuation. */
   [[nodiscard]] bool AreRequestsCurrent(TimePoint aNow) const;
+  /** Logs when the list of runners has been too old for some time, and when it
+   *  is so no more. */
+  void LogListingAge(TimePoint aNow);
   /** Whether tasks may be started on the runner. */
   [[nodiscard]] bool MayStart(sched::RunnerIndex aRunner, TimePoint aNow) const;
 
@@ -262,6 +265,7 @@
   Duration m_maxListingAge{};
   std::optional<Duration> m_maxRequestAge;
   TimePoint m_requestsConfirmedAt;  ///< See OperatorRequests::m_confirmedAt.
+  bool m_staleListingLogged = false;
 
   sched::Cell m_cell;
   // While loading.
--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -1,38 +1,29 @@
 /**
- * @file row_store.cpp Simulates the platform's row store and one of its
- * runners.
+ * @file row_store.cpp Simulates the platform's row store.
  *
- * Both implement the platform's published protocol and keep all data in memory.
+ * Implements the platform's published protocol and keeps all data in memory.
  */
 
 #include "standin/row_store.h"
 
+#include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/url/pct_string_view.hpp>
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "standin/json_reply.h"
+
 namespace bronze::standin {
 
 namespace {
 
-/** Ends that one answer lists at most; the others are listed once these are
- *  acknowledged. */
-constexpr size_t kListedEnds = 500;
-
 using Json = nlohmann::json;
 namespace base64 = boost::beast::detail::base64;
 
 /** Time between two polls of a call that waits for changes. */
 constexpr Duration kPollInterval = milliseconds(10);
 
-/** @return the clock of stores and runners. */
-int64_t NowMillis() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 std::string Encode64(const std::string& aBytes) {
   std::string text(base64::encoded_size(aBytes.size()), '\0');
   text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
@@ -57,13 +48,6 @@
   return value ? value->decode() : std::string();
 }
 
-HttpReply JsonReply(int aStatus, const Json& aBody) {
-  HttpReply reply;
-  reply.m_status = aStatus;
-  reply.m_body = aBody.dump();
-  return reply;
-}
-
 Json RowJson(const std::tuple<std::string, std::string, std::string>& aKey,
              const std::string& aValue, uint64_t aVersion, bool aDeleted) {
   Json row = {{"table", std::get<0>(aKey)},
@@ -118,6 +102,11 @@
       .value();
 }
 
+void RowStore::Write(const Key& aKey, const Row& aRow) {
+  m_rows[aKey] = aRow;
+  m_changes.emplace_back(aKey, aRow);
+}
+
 void RowStore::SetFaults(RowStoreFaults aFaults) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_faults = aFaults;
@@ -126,13 +115,13 @@
 void RowStore::Put(const std::string& aTable, const std::string& aPart,
                    const std::string& aKey, const std::string& aValue) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_rows[{aTable, aPart, aKey}] = {aValue, ++m_version, false};
+  Write({aTable, aPart, aKey}, {aValue, ++m_version, false});
 }
 
 void RowStore::Remove(const std::string& aTable, const std::string& aPart,
                       const std::string& aKey) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_rows[{aTable, aPart, aKey}] = {"", ++m_version, true};
+  Write({aTable, aPart, aKey}, {"", ++m_version, true});
 }
 
 std::string RowStore::Value(const std::string& aTable, const std::string& aPart,
@@ -256,10 +245,10 @@
   }
   ++m_version;
   for (const Json& put : body.at("put")) {
-    m_rows[KeyOf(put)] = {Decode64(put.at("value")), m_version, false};
+    Write(KeyOf(put), {Decode64(put.at("value")), m_version, false});
   }
   for (const Json& removed : body.at("remove")) {
-    m_rows[KeyOf(removed)] = {"", m_version, true};
+    Write(KeyOf(removed), {"", m_version, true});
   }
   return JsonReply(200, {{"ver", m_version}, {"now_ms", NowMillis()}});
 }
@@ -328,12 +317,30 @@
     return true;
   }
   Json rows = Json::array();
-  for (const auto& [key, row] : m_rows) {
-    if (std::get<0>(key) != table || row.m_version <= after) continue;
+  uint64_t version = m_version;
+  size_t bytes = 0;
+  const auto first =
+      std::upper_bound(m_changes.begin(), m_changes.end(), after,
+                       [](uint64_t aVersion, const auto& aChange) {
+                         return aVersion < aChange.second.m_version;
+                       });
+  for (auto at = first; at != m_changes.end(); ++at) {
+    const auto& [key, row] = *at;
+    if (std::get<0>(key) != table) continue;
+    bytes += row.m_value.size();
+    const bool isFull =
+        rows.size() >= m_limits.m_answerRows || bytes > m_limits.m_answerBytes;
+    // The rows of one transaction share a version and stay together, as the
+    // caller continues after a version.
+    if (isFull && !rows.empty() &&
+        rows.back().at("ver").get<uint64_t>() != row.m_version) {
+      version = rows.back().at("ver");
+      break;
+    }
     rows.push_back(RowJson(key, row.m_value, row.m_version, row.m_deleted));
   }
   aReply = JsonReply(
-      200, {{"rows", rows}, {"ver", m_version}, {"now_ms", NowMillis()}});
+      200, {{"rows", rows}, {"ver", version}, {"now_ms", NowMillis()}});
   return !rows.empty();
 }
 
@@ -353,143 +360,4 @@
   });
 }
 
-FakeRunner::FakeRunner(ThreadPool& aThreads, Duration aTaskTime)
-    : m_threads(aThreads), m_taskTime(aTaskTime) {
-  m_server = std::make_unique<HttpServer>(
-      m_threads, HttpLimits(), m_counters,
-      [this](size_t, HttpCall aCall, auto aResponder) {
-        bool lose = false;
-        HttpReply reply = Handle(aCall, lose);
-        if (lose) {
-          aResponder->Abort();
-        } else {
-          aResponder->Reply(std::move(reply));
-        }
-      });
-}
-
-boost::asio::ip::tcp::endpoint FakeRunner::Listen() {
-  return m_server->Listen({boost::asio::ip::address_v4::loopback(), 0}).value();
-}
-
-void FakeRunner::SetFaults(FakeRunnerFaults aFaults) {
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  m_faults = aFaults;
-}
-
-void FakeRunner::RaiseFence() {
-  constexpr uint64_t kLaterOwner = 1'000'000'000;
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  m_fence = kLaterOwner;
-}
-
-std::map<std::string, int> FakeRunner::Starts() {
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  return m_starts;
-}
-
-int FakeRunner::MaxConcurrentRuns() {
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  return m_maxConcurrentRuns;
-}
-
-std::vector<RunRecord> FakeRunner::Runs() {
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  Advance();
-  return m_runs;
-}
-
-uint64_t FakeRunner::LastAcknowledgedEnd() {
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  return m_acknowledged;
-}
-
-void FakeRunner::EndRun(const std::string& aTask, const std::string& aKind,
-                        int64_t aEndedAt, std::string aCheckpoint) {
-  const uint64_t run = m_running.at(aTask).m_number;
-  RunRecord& record = m_runs[m_running.at(aTask).m_record];
-  record.m_endedAt = aEndedAt;
-  record.m_kind = aKind;
-  m_running.erase(aTask);
-  m_highestEnded[aTask] = std::max(m_highestEnded[aTask], run);
-  m_ends.push_back({++m_lastEnd, aTask, run, aKind, std::move(aCheckpoint)});
-}
-
-void FakeRunner::Advance() {
-  const int64_t now = NowMillis();
-  const std::map<std::string, Run> running = m_running;
-  for (const auto& [task, run] : running) {
-    if (m_faults.m_stopsWithCheckpoint > 0) {
-      // Starts with the name of its task, so that no two are equal.
-      std::string checkpoint = task;
-      checkpoint.resize(m_faults.m_stopsWithCheckpoint, '.');
-      EndRun(task, "stopped", now, std::move(checkpoint));
-    } else if (now >= run.m_endsAt) {
-      EndRun(task, m_faults.m_failsTasks ? "failed" : "done", run.m_endsAt);
-    } else if (now > m_deadline) {
-      EndRun(task, "lapsed", m_deadline);
-    }
-  }
-}
-
-HttpReply FakeRunner::Handle(const HttpCall& aCall, bool& aLoseAnswer) {
-  const Json body = Json::parse(aCall.m_body);
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  Advance();
-  Json answer = {{"clock_ms", NowMillis()}, {"born", 1}};
-  const uint64_t fence = body.value("fence", uint64_t{0});
-  if (fence < m_fence) {
-    answer["reason"] = "fence";
-    return JsonReply(409, answer);
-  }
-  m_fence = fence;
-  m_deadline = std::max(m_deadline, body.value("deadline_ms", int64_t{0}));
-  if (aCall.m_target == "/bronzeworks/run-start") {
-    const std::string task = body.at("task");
-    const uint64_t run = body.at("run");
-    if (m_faults.m_refusesStarts) return JsonReply(503, answer);
-    if (run <= m_highestEnded[task]) {
-      answer["reason"] = "old";
-      return JsonReply(409, answer);
-    }
-    ++m_starts[task];
-    const int before = m_running.count(task) > 0 ? 1 : 0;
-    m_maxConcurrentRuns = std::max(m_maxConcurrentRuns, before + 1);
-    const int64_t now = NowMillis();
-    const auto time =
-        std::chrono::duration_cast<milliseconds>(m_taskTime).count();
-    m_runs.push_back({task, run, now, INT64_MAX, "",
-                      body.value("checkpoint", std::string())});
-    m_running[task] = {run, now + time, m_runs.size() - 1};
-    aLoseAnswer = m_faults.m_losesStartAnswers;
-    return JsonReply(200, answer);
-  }
-  if (aCall.m_target == "/bronzeworks/run-stop") {
-    const std::string task = body.at("task");
-    const uint64_t run = body.at("run");
-    const auto found = m_running.find(task);
-    if (found != m_running.end() && found->second.m_number <= run) {
-      EndRun(task, "stopped", NowMillis());
-    }
-    m_highestEnded[task] = std::max(m_highestEnded[task], run);
-    return JsonReply(200, answer);
-  }
-  const uint64_t seen = body.value("last_seen", uint64_t{0});
-  m_acknowledged = std::max(m_acknowledged, seen);
-  while (!m_ends.empty() && m_ends.front().m_number <= seen) {
-    m_ends.pop_front();
-  }
-  answer["running"] = Json::array();
-  for (const auto& [task, run] : m_running) {
-    answer["running"].push_back(Json::array({task, run.m_number, "", 50, 0}));
-  }
-  answer["finished"] = Json::array();
-  for (const End& end : m_ends) {
-    if (answer["finished"].size() == kListedEnds) break;
-    answer["finished"].push_back(Json::array(
-        {end.m_number, end.m_task, end.m_run, end.m_kind, end.m_checkpoint}));
-  }
-  return JsonReply(200, answer);
-}
-
 }  // namespace bronze::standin
