sched: only best-effort tasks with slack yield at once

Cause: the wider margins and the pause at the first report also held for tasks that were late already.

Change: a best-effort task has slack while two more of its runs fit before its due time. Without slack the earlier margins and times hold. A search that failed for a task with slack says nothing of one without. No best-effort task joins a runner over its target. The time of a pause is left out of the time without progress, instead of restarting it.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -64,6 +64,9 @@
   /** The same when best-effort tasks that already run beside it are throttled.
    */
   double m_paceMargin = 0.15;
+  /** Both for best-effort tasks without slack (HasSlack). */
+  double m_urgentPlaceMargin = 0.15;
+  double m_urgentPaceMargin = 0.08;
   /** Run time of a task outside the rack of its data, as a multiple of its run
    *  time there. */
   double m_spreadFactor = 1.0;
@@ -222,6 +225,8 @@
   std::string m_label;  ///< Required label; empty: none.
   bool m_bestEffort = false;
   ImageIndex m_image;  ///< Counts for best-effort tasks only.
+  /** The best-effort task had slack. One without may find room all the same. */
+  bool m_hasSlack = false;
   /** Set if anti-affinity or advice excluded runners: it holds for this step
    *  only. */
   std::optional<StepKey> m_only;
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -154,6 +154,7 @@
   /** When m_percent last rose, or the run may last have been paused. Only since
    *  then does a lack of progress show that the run has stalled. */
   TimePoint m_progressAt;
+  TimePoint m_pausedAt;  ///< When a pace of 0 was last ordered.
   /** Of a best-effort task: share of full speed that this owner last ordered,
    *  in percent; a run that this owner starts begins with kFullPace. Not set:
    *  not known, as an earlier owner may have ordered any pace, or an order got
--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -11,6 +11,7 @@
 #include <cmath>
 
 #include "core/sched/interference_func.h"
+#include "core/sched/placement_func.h"
 #include "core/sched/task_internal.h"
 
 namespace bronze::sched {
@@ -35,10 +36,14 @@
 /** Best-effort tasks resume once all tail latencies are at or below this share
  *  of their targets. */
 constexpr double kResumeBelow = 0.9;
-/** After this time over a target, all best-effort tasks are moved away. The
- *  tail latency reacts half a second after a pause, so that a pause has failed
- *  by then; the limit is four seconds. */
-constexpr Duration kMoveAllAfter = milliseconds(3000);
+/** A tail latency over its target for this long pauses also best-effort tasks
+ *  without slack beside it. The limit is several seconds, and the tail latency
+ *  reacts half a second after a change. */
+constexpr Duration kPauseUrgentAfter = milliseconds(1500);
+/** After this time over a target, best-effort tasks are moved away, those
+ *  without slack sooner, as they lose more by a pause. */
+constexpr Duration kMoveAfter = milliseconds(3000);
+constexpr Duration kMoveUrgentAfter = milliseconds(2000);
 /** Decay time of past use of cores: tail latencies are measured over the last
  *  half second. */
 constexpr Duration kTailDecayTime = milliseconds(400);
@@ -93,8 +98,9 @@
   });
 }
 
-/** Compares the load that placement and pacing counted with to the measured
- *  one. Only predictions that were too low can put a task over its target. */
+/** Compares the load predicted from the task's own load and the use of cores
+ *  beside it to the measured one. Only predictions that were too low can put a
+ *  task over its target. */
 void RecordPrediction(CellCounts& aCounts, double aPredicted, double aLoad) {
   ++aCounts.m_loadPredictions;
   const double error = aLoad - aPredicted;
@@ -195,7 +201,7 @@
 /** @return the share of full speed at which the best-effort tasks that affect
  *  this task keep it within its limit; 1 or more: no throttling is needed. */
 double SafePace(const Cell& aCell, const Runner& aRunner,
-                const LatencyCriticalView& aLatencyCritical) {
+                const LatencyCriticalView& aLatencyCritical, double aMargin) {
   double added = 0.0;
   for (const BestEffortDemand& load : aRunner.m_bestEffortDemands) {
     added += InterferenceOf(aCell.m_interference, load.m_image,
@@ -203,12 +209,21 @@
              static_cast<double>(load.m_millicores) / CapacityOf(aRunner);
   }
   if (added < kNegligibleLoad) return 1.0;
-  const double headroom = aLatencyCritical.m_limitLoad -
-                          aCell.m_settings.m_paceMargin -
-                          aLatencyCritical.m_ownLoad;
+  const double headroom =
+      aLatencyCritical.m_limitLoad - aMargin - aLatencyCritical.m_ownLoad;
   return std::max(0.0, headroom / added);
 }
 
+/** @return SafePace of each latency-critical task there. */
+std::vector<double> SafePaces(const Cell& aCell, const Runner& aRunner,
+                              double aMargin) {
+  std::vector<double> paces;
+  for (const LatencyCriticalView& latencyCritical : aRunner.m_latencyCritical) {
+    paces.push_back(SafePace(aCell, aRunner, latencyCritical, aMargin));
+  }
+  return paces;
+}
+
 /** @return the share of full speed at which the step's task may work there. */
 double PaceFor(const Cell& aCell, const Runner& aRunner, const StepSpec& aStep,
                const std::vector<double>& aSafePaces) {
@@ -235,8 +250,15 @@
 void OrderPace(Cell& aCell, RunnerIndex aIndex, const TaskKey& aKey,
                Task& aTask, int aPercent, TimePoint aNow) {
   if (IsPaceKept(aTask, aPercent)) return;
-  const bool mayBePaused = !aTask.m_pace || *aTask.m_pace == 0;
-  if (mayBePaused) aTask.m_progressAt = aNow;
+  // The time of a pause doesn't count towards a stall, but a pause shows no
+  // progress either. Before an unknown pace, the run may have been paused.
+  if (!aTask.m_pace) {
+    aTask.m_progressAt = aNow;
+  } else if (*aTask.m_pace == 0) {
+    aTask.m_progressAt =
+        std::min(aNow, aTask.m_progressAt + (aNow - aTask.m_pausedAt));
+  }
+  if (aPercent == 0) aTask.m_pausedAt = aNow;
   aTask.m_pace = aPercent;
   ++aCell.m_counts.m_paces;
   aCell.m_orders.emplace_back(PaceOrder{aKey, aTask.m_run, aIndex, aPercent});
@@ -257,30 +279,40 @@
   const Duration overFor = runner.m_isOverTarget
                                ? aNow - runner.m_overTargetSince
                                : Duration::zero();
-  std::vector<double> safePaces;
-  for (const LatencyCriticalView& latencyCritical : runner.m_latencyCritical) {
-    safePaces.push_back(SafePace(aCell, runner, latencyCritical));
-  }
+  const CellSettings& settings = aCell.m_settings;
+  const std::vector<double> safePaces =
+      SafePaces(aCell, runner, settings.m_paceMargin);
+  const std::vector<double> urgentPaces =
+      SafePaces(aCell, runner, settings.m_urgentPaceMargin);
   const std::vector<TaskKey> keys = runner.m_tasks;
   for (const TaskKey& key : keys) {
     const TaskPlace place = FindTask(aCell, key);
     if (!IsRunningBestEffort(place)) continue;
-    const double pace = PaceFor(aCell, runner, *place.m_step, safePaces);
-    if (pace < kMinPace || overFor > kMoveAllAfter) {
+    const bool hasSlack =
+        HasSlack(*place.m_step, place.m_occurrence->m_due, aNow);
+    const double urgentPace =
+        PaceFor(aCell, runner, *place.m_step, urgentPaces);
+    if (urgentPace < kMinPace ||
+        overFor > (hasSlack ? kMoveAfter : kMoveUrgentAfter)) {
       LogDecision(
           aCell,
           fmt::format("moves best-effort task={} runner={} pressure={:.2f} "
                       "pace={:.2f} over_ms={}",
                       TaskText(key), runner.m_entry.m_id.Value(),
-                      runner.m_tailRatio, pace, overFor.count() / 1000));
+                      runner.m_tailRatio, urgentPace, overFor.count() / 1000));
       place.m_task->m_avoid = aIndex;
       StopRun(aCell, key, place, aNow);
       continue;
     }
     // A task that is not known to interfere may add to the load as well: the
     // table leaves out small interference, and the tasks of a runner add up.
+    const bool pauses =
+        hasSlack ? runner.m_isOverTarget : overFor > kPauseUrgentAfter;
+    const double pace = hasSlack
+                            ? PaceFor(aCell, runner, *place.m_step, safePaces)
+                            : urgentPace;
     const int percent =
-        runner.m_isOverTarget ? 0 : static_cast<int>(std::lround(pace * 100.0));
+        pauses ? 0 : static_cast<int>(std::lround(pace * 100.0));
     OrderPace(aCell, aIndex, key, *place.m_task, percent, aNow);
   }
 }
--- a/src/core/sched/pacing_func.h
+++ b/src/core/sched/pacing_func.h
@@ -13,9 +13,10 @@
 /**
  * Learns the interference between images from the runner's last report, and
  * throttles best-effort tasks. A task whose safe pace is too low to be useful
- * is moved to another runner. While a tail latency is over its target, all
- * best-effort tasks there are paused until it is well below, and moved if that
- * takes long: they can catch up later, the callers of a service can't.
+ * is moved to another runner. While a tail latency is over its target,
+ * best-effort tasks with slack there are paused at once until it is well below:
+ * they can catch up, the callers of a service can't. Those without slack are
+ * paused if that lasts. All are moved if it lasts longer.
  */
 void PaceRunner(Cell& aCell, RunnerIndex aIndex, TimePoint aNow);
 
--- a/src/core/sched/placement_cmd.cpp
+++ b/src/core/sched/placement_cmd.cpp
@@ -54,6 +54,7 @@
   query.m_step = &aStep;
   query.m_service = ServiceOf(aCell, aJob.m_spec);
   query.m_rack = aStep.m_affinityRack;
+  query.m_hasSlack = HasSlack(aStep, aKey.m_due, aNow);
   if (aJob.m_spec.m_policy.m_advice) {
     const StepKey stepKey{aKey.m_job, aKey.m_occurrence, aKey.m_step};
     query.m_isApproved = [&aCell, stepKey, aNow](RunnerIndex aRunner) {
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -69,6 +69,12 @@
          aRunner.m_quarantinedUntil <= aNow;
 }
 
+bool HasSlack(const StepSpec& aStep, TimePoint aDue, TimePoint aNow) {
+  // Covers a run that is throttled to half its speed, or a later step.
+  constexpr int kRunsLeft = 2;
+  return aNow + aStep.m_estimate * kRunsLeft < aDue;
+}
+
 Resources FreeRoom(const Runner& aRunner) {
   Resources free = aRunner.m_entry.m_capacity - aRunner.m_reserved;
   free.m_memory -= aRunner.m_bestEffortMemory;
@@ -200,8 +206,13 @@
   if (!MeetsConstraints(aQuery, runner, aIndex)) return &aTally.m_unfit;
   if (!step.m_bestEffort) return nullptr;
   if (!HasUnusedCores(aCell.m_settings, runner, step)) return &aTally.m_busy;
+  // Its next report would pause or stop the task.
+  if (runner.m_isOverTarget) return &aTally.m_overTarget;
   const BestEffortImpact effect = PredictImpact(aCell, runner, step);
-  if (effect.m_headroom < aCell.m_settings.m_placeMargin) {
+  const double margin = aQuery.m_hasSlack
+                            ? aCell.m_settings.m_placeMargin
+                            : aCell.m_settings.m_urgentPlaceMargin;
+  if (effect.m_headroom < margin) {
     return &aTally.m_overTarget;
   }
   aInterference = effect.m_added;
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -24,6 +24,11 @@
 [[nodiscard]] bool IsUsable(const Runner& aRunner, const ServiceId& aService,
                             TimePoint aNow);
 
+/** Whether a best-effort task of the step that begins or goes on now can wait
+ *  without being late: it yields more to latency-critical tasks. */
+[[nodiscard]] bool HasSlack(const StepSpec& aStep, TimePoint aDue,
+                            TimePoint aNow);
+
 /** @return the capacity that no task holds. */
 [[nodiscard]] Resources FreeRoom(const Runner& aRunner);
 
@@ -101,6 +106,7 @@
   std::function<uint32_t(RunnerIndex)> m_sameStep;
   /** Whether the queue's policy allows the runner; empty: all are allowed. */
   std::function<bool(RunnerIndex)> m_isApproved;
+  bool m_hasSlack = false;  ///< HasSlack, for best-effort tasks.
   /** Runners in quarantine or on probation are examined like all others. */
   bool m_acceptsQuarantined = false;
   PlacementTally* m_tally = nullptr;  ///< Output, if set.
--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -135,13 +135,14 @@
 }
 
 bool Covers(const FailedSearch& aFailed, const QueueKey& aKey,
-            const StepSpec& aStep, const ServiceId& aService) {
+            const StepSpec& aStep, const ServiceId& aService, bool aHasSlack) {
   if (aFailed.m_only) {
     const StepKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step};
     if (*aFailed.m_only != key) return false;
   }
   return aFailed.m_bestEffort == aStep.m_bestEffort &&
-         (!aStep.m_bestEffort || aFailed.m_image == aStep.m_imageIndex) &&
+         (!aStep.m_bestEffort || (aFailed.m_image == aStep.m_imageIndex &&
+                                  (aHasSlack || !aFailed.m_hasSlack))) &&
          aFailed.m_label == aStep.m_requiredLabel &&
          aFailed.m_service == aService && Fits(aFailed.m_need, aStep.m_need);
 }
@@ -150,11 +151,12 @@
  * null if there is none. Thus many steps that cannot be placed do not keep a
  *          pass from those that can. */
 FailedSearch* FindFailedSearch(Cell& aCell, const QueueKey& aKey,
-                               const StepSpec& aStep,
-                               const ServiceId& aService) {
+                               const StepSpec& aStep, const ServiceId& aService,
+                               TimePoint aNow) {
+  const bool hasSlack = HasSlack(aStep, aKey.m_due, aNow);
   FailedSearch* latest = nullptr;
   for (FailedSearch& failed : aCell.m_failedSearches) {
-    if (!Covers(failed, aKey, aStep, aService)) continue;
+    if (!Covers(failed, aKey, aStep, aService, hasSlack)) continue;
     if (latest == nullptr || failed.m_seen > latest->m_seen) latest = &failed;
   }
   return latest;
@@ -168,16 +170,21 @@
   // step can use.
   const bool restricted =
       step.m_antiAffinity > 0 || static_cast<bool>(aQuery.m_isApproved);
-  FailedSearch failed{aQuery.m_service,          step.m_need,
-                      step.m_requiredLabel,      step.m_bestEffort,
-                      step.m_imageIndex,         {},
+  FailedSearch failed{aQuery.m_service,
+                      step.m_need,
+                      step.m_requiredLabel,
+                      step.m_bestEffort,
+                      step.m_imageIndex,
+                      aQuery.m_hasSlack,
+                      {},
                       aCell.m_roomChanges.size()};
   if (restricted) {
     failed.m_only = StepKey{aKey.m_job, aKey.m_occurrence, aKey.m_step};
   }
   for (FailedSearch& known : aCell.m_failedSearches) {
     if (known.m_only != failed.m_only || known.m_need != failed.m_need ||
-        !Covers(known, aKey, step, aQuery.m_service)) {
+        known.m_hasSlack != failed.m_hasSlack ||
+        !Covers(known, aKey, step, aQuery.m_service, aQuery.m_hasSlack)) {
       continue;
     }
     known.m_seen = failed.m_seen;
@@ -263,7 +270,7 @@
   Job& job = aCell.m_jobs.at(aKey.m_job);
   const StepSpec& step = job.m_spec.m_steps[aKey.m_step];
   const FailedSearch* failed =
-      FindFailedSearch(aCell, aKey, step, ServiceOf(aCell, job.m_spec));
+      FindFailedSearch(aCell, aKey, step, ServiceOf(aCell, job.m_spec), aNow);
   const bool unplaceable =
       failed != nullptr && failed->m_seen == aCell.m_roomChanges.size();
   // With a long queue, most steps end here in each pass.
