--- a/src/codec/job_cbor.cpp
+++ b/src/codec/job_cbor.cpp
@@ -1,5 +1,5 @@
 /**
- * @file job_cbor.cpp CBOR form of the stored rows of jobs and cells.
+ * @file job_cbor.cpp CBOR form of the stored rows of jobs.
  *
  * A row is an array whose first element is the format version. A task is one
  * number that combines its run number and state. After it come, if present, the
@@ -16,14 +16,13 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
-#include "codec/bounded_json.h"
+#include "codec/row_array.h"
 #include "core/sched/failed_runs_func.h"
 
 namespace bronze {
 
 namespace {
 
-using Json = nlohmann::json;
 using sched::JobSpec;
 using sched::StepSpec;
 using sched::StoredOccurrence;
@@ -31,7 +30,6 @@
 using sched::StoredTask;
 using sched::StoredTaskBlock;
 
-constexpr int kFormatVersion = 1;
 /** Of the state row of a divided job. Earlier builds skip it. */
 constexpr int kDividedStateVersion = 2;
 
@@ -41,32 +39,6 @@
 constexpr uint64_t kHasFailures = 4;  ///< Set if the failed runs follow.
 constexpr int kRunShift = 3;
 
-std::string ToBytes(const Json& aJson) {
-  std::string bytes;
-  Json::to_cbor(aJson, bytes);
-  return bytes;
-}
-
-/** Runs aRead on the decoded array; an exception becomes an Error. */
-template <class T, class Read>
-Result<T> Decode(std::string_view aBytes, std::string_view aWhat, Read aRead,
-                 int aNewestVersion = kFormatVersion) {
-  const auto parsed = ParseBoundedCbor(aBytes);
-  if (!parsed) return parsed.error();
-  try {
-    const Json& json = parsed.value();
-    const int version = json.at(0).get<int>();
-    if (version < kFormatVersion || version > aNewestVersion) {
-      return MakeError(ErrorKind::PeerMalformed,
-                       fmt::format("{} has an unknown format version", aWhat));
-    }
-    return aRead(json);
-  } catch (const Json::exception& error) {
-    return MakeError(ErrorKind::PeerMalformed,
-                     fmt::format("malformed {}: {}", aWhat, error.what()));
-  }
-}
-
 Json StepToJson(const StepSpec& aStep) {
   const int flags = (aStep.m_savesProgress ? 1 : 0) | (aStep.m_gang ? 2 : 0) |
                     (aStep.m_sameRack ? 4 : 0) | (aStep.m_speculative ? 8 : 0) |
@@ -413,87 +385,4 @@
       });
 }
 
-std::string EncodeOwnerRow(const OwnerRow& aRow) {
-  Json unresponsive = Json::array();
-  for (const UnresponsiveRunnerRow& row : aRow.m_unresponsive) {
-    unresponsive.push_back(
-        Json::array({row.m_runner.Value(), row.m_lapsesAt.Value()}));
-  }
-  return ToBytes(
-      Json::array({kFormatVersion, aRow.m_vm, aRow.m_incarnation,
-                   aRow.m_address, aRow.m_sequence, aRow.m_cpuShare,
-                   aRow.m_longestLease.count(), std::move(unresponsive)}));
-}
-
-Result<OwnerRow> DecodeOwnerRow(std::string_view aBytes) {
-  return Decode<OwnerRow>(aBytes, "owner row", [](const Json& aJson) {
-    OwnerRow row;
-    row.m_vm = aJson.at(1).get<std::string>();
-    row.m_incarnation = aJson.at(2).get<uint64_t>();
-    row.m_address = aJson.at(3).get<std::string>();
-    row.m_sequence = aJson.at(4).get<uint64_t>();
-    row.m_cpuShare = aJson.at(5).get<double>();
-    row.m_longestLease = Duration(aJson.at(6).get<int64_t>());
-    for (const Json& unresponsive : aJson.at(7)) {
-      row.m_unresponsive.push_back(
-          {RunnerId(unresponsive.at(0).get<std::string>()),
-           StoreMillis(unresponsive.at(1).get<int64_t>())});
-    }
-    return row;
-  });
-}
-
-std::string EncodeHeartbeatRow(const HeartbeatRow& aRow) {
-  return ToBytes(Json::array(
-      {kFormatVersion, aRow.m_vm, aRow.m_incarnation, aRow.m_address,
-       aRow.m_sequence, aRow.m_cpuShare, aRow.m_term.Value(),
-       Json::array({aRow.m_load.m_longRunning, aRow.m_load.m_short,
-                    aRow.m_load.m_bestEffort, aRow.m_load.m_cores,
-                    aRow.m_load.m_kinds})}));
-}
-
-Result<HeartbeatRow> DecodeHeartbeatRow(std::string_view aBytes) {
-  return Decode<HeartbeatRow>(aBytes, "heartbeat row", [](const Json& aJson) {
-    HeartbeatRow row;
-    row.m_vm = aJson.at(1).get<std::string>();
-    row.m_incarnation = aJson.at(2).get<uint64_t>();
-    row.m_address = aJson.at(3).get<std::string>();
-    row.m_sequence = aJson.at(4).get<uint64_t>();
-    row.m_cpuShare = aJson.at(5).get<double>();
-    row.m_term = FencingToken(aJson.at(6).get<uint64_t>());
-    const Json& load = aJson.at(7);
-    row.m_load.m_longRunning = load.at(0).get<uint32_t>();
-    row.m_load.m_short = load.at(1).get<uint32_t>();
-    row.m_load.m_bestEffort = load.at(2).get<uint32_t>();
-    row.m_load.m_cores = load.at(3).get<uint64_t>();
-    row.m_load.m_kinds = load.at(4).get<std::vector<std::string>>();
-    return row;
-  });
-}
-
-std::string EncodeLayoutRow(const LayoutRow& aRow) {
-  return ToBytes(
-      Json::array({kFormatVersion, aRow.m_layout.m_cells, aRow.m_countingVm}));
-}
-
-Result<LayoutRow> DecodeLayoutRow(std::string_view aBytes) {
-  return Decode<LayoutRow>(aBytes, "layout row", [](const Json& aJson) {
-    return LayoutRow{{aJson.at(1).get<uint32_t>()},
-                     aJson.at(2).get<std::string>()};
-  });
-}
-
-std::string EncodeRoute(const sched::StoredRoute& aRoute) {
-  return ToBytes(Json::array({kFormatVersion, aRoute.m_job.Value(),
-                              aRoute.m_cell.Value(), aRoute.m_moveCount}));
-}
-
-Result<sched::StoredRoute> DecodeRoute(std::string_view aBytes) {
-  return Decode<sched::StoredRoute>(aBytes, "route", [](const Json& aJson) {
-    return sched::StoredRoute{JobId(aJson.at(1).get<uint64_t>()),
-                              CellId(aJson.at(2).get<uint32_t>()),
-                              aJson.at(3).get<uint32_t>()};
-  });
-}
-
 }  // namespace bronze
--- a/src/codec/job_cbor.h
+++ b/src/codec/job_cbor.h
@@ -1,5 +1,5 @@
 /**
- * @file job_cbor.h CBOR form of the stored rows of jobs and cells. A job's spec
+ * @file job_cbor.h CBOR form of the stored rows of jobs. A job's spec
  * has the same form in messages between daemons.
  */
 
@@ -10,7 +10,6 @@
 #include <string_view>
 
 #include "core/error/error_type.h"
-#include "core/sched/cell_layout_type.h"
 #include "core/sched/commit_cmd.h"
 
 namespace bronze {
@@ -33,60 +32,6 @@
 [[nodiscard]] Result<sched::StoredInterference> DecodeInterference(
     std::string_view aBytes);
 
-/** An unresponsive runner, and the time by which its lease has ended. */
-struct UnresponsiveRunnerRow {
-  RunnerId m_runner;
-  StoreMillis m_lapsesAt;
-};
-
-/**
- * The row that names the owner of a cell. Each transaction of the owner checks
- * the version of this row in the store.
- */
-struct OwnerRow {
-  std::string m_vm;
-  uint64_t m_incarnation = 0;
-  std::string m_address;      ///< IP:PORT for calls of other daemons.
-  uint64_t m_sequence = 0;    ///< Rises with each transaction of the owner.
-  double m_cpuShare = 0.0;    ///< Of the VM, in cores; 0: unknown.
-  Duration m_longestLease{};  ///< Longest lease used in this cell.
-  /** Unresponsive runners; see core/sched/unresponsive_runner_cmd.h. */
-  std::vector<UnresponsiveRunnerRow> m_unresponsive;
-};
-
-[[nodiscard]] std::string EncodeOwnerRow(const OwnerRow& aRow);
-[[nodiscard]] Result<OwnerRow> DecodeOwnerRow(std::string_view aBytes);
-
-/**
- * The heartbeat of a cell's owner. The heartbeats of all cells are in one part
- * of the store, so that a VM reads them in one call. An owner sends starts only
- * within a time after its last acknowledged heartbeat.
- */
-struct HeartbeatRow {
-  std::string m_vm;  ///< Empty: the cell was handed over.
-  uint64_t m_incarnation = 0;
-  std::string m_address;    ///< IP:PORT for calls of other daemons.
-  uint64_t m_sequence = 0;  ///< Rises with each heartbeat of the owner.
-  double m_cpuShare = 0.0;  ///< Of the VM, in cores; 0: unknown.
-  FencingToken m_term;      ///< Version of the owner row at the claim.
-  sched::CellLoad m_load;
-};
-
-[[nodiscard]] std::string EncodeHeartbeatRow(const HeartbeatRow& aRow);
-[[nodiscard]] Result<HeartbeatRow> DecodeHeartbeatRow(std::string_view aBytes);
-
-/** The number of cells, or the VM that is counting runners to determine it. */
-struct LayoutRow {
-  sched::CellLayout m_layout;
-  std::string m_countingVm;  ///< Set while m_layout is not known.
-};
-
-[[nodiscard]] std::string EncodeLayoutRow(const LayoutRow& aRow);
-[[nodiscard]] Result<LayoutRow> DecodeLayoutRow(std::string_view aBytes);
-
-[[nodiscard]] std::string EncodeRoute(const sched::StoredRoute& aRoute);
-[[nodiscard]] Result<sched::StoredRoute> DecodeRoute(std::string_view aBytes);
-
 }  // namespace bronze
 
 #endif  // BRONZE_CODEC_JOB_CBOR_H_
--- a/src/codec/peer_call_cbor.cpp
+++ b/src/codec/peer_call_cbor.cpp
@@ -28,12 +28,22 @@
 constexpr size_t kSpec = 5;
 constexpr size_t kRouted = 6;
 constexpr size_t kState = 7;
+constexpr size_t kHandover = 6;  ///< Of HandOver only.
+/** Position in the array of an error. */
+constexpr size_t kHandedOver = 2;
 
 std::string_view BytesOf(const Json& aJson) {
   const auto& bytes = aJson.get_binary();
   return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
 }
 
+sched::HandoverRequest HandoverFromJson(const Json& aJson) {
+  return {VmId(aJson.at(0).get<std::string>()),
+          Incarnation(aJson.at(1).get<uint64_t>()),
+          {Millicores(aJson.at(2).get<int64_t>()),
+           sched::KilobitsPerSecond(aJson.at(3).get<int64_t>())}};
+}
+
 Error Malformed(const Json::exception& aError) {
   return MakeError(
       ErrorKind::PeerMalformed,
@@ -56,6 +66,14 @@
     call.push_back(aCall.m_routed);
     call.push_back(Json::binary({state.begin(), state.end()}));
   }
+  // Earlier builds refuse the verb.
+  if (aCall.m_verb == PeerVerb::HandOver) {
+    const sched::HandoverRequest& request = aCall.m_handover;
+    call.push_back(
+        Json::array({request.m_vm.Value(), request.m_incarnation.Value(),
+                     request.m_capability.m_cpu.Value(),
+                     request.m_capability.m_link.Value()}));
+  }
   return ToBytes(call);
 }
 
@@ -66,7 +84,7 @@
     const Json& json = parsed.value();
     PeerCall call;
     const int verb = json.at(0).get<int>();
-    if (verb < 0 || verb > static_cast<int>(PeerVerb::Adopt)) {
+    if (verb < 0 || verb > static_cast<int>(PeerVerb::HandOver)) {
       return MakeError(ErrorKind::PeerMalformed,
                        "unknown verb in a call from a peer");
     }
@@ -75,6 +93,10 @@
     call.m_job = JobId(json.at(2).get<uint64_t>());
     call.m_queue = sched::QueueId(json.at(3).get<std::string>());
     call.m_window = Duration(json.at(4).get<int64_t>());
+    if (call.m_verb == PeerVerb::HandOver) {
+      call.m_handover = HandoverFromJson(json.at(kHandover));
+      return call;
+    }
     call.m_routed = json.size() > kRouted && json.at(kRouted).get<bool>();
     const bool adopts = call.m_verb == PeerVerb::Adopt;
     if (!adopts && call.m_verb != PeerVerb::Submit) return call;
@@ -93,9 +115,11 @@
 
 std::string EncodePeerAnswer(const PeerAnswer& aAnswer) {
   if (aAnswer.m_error) {
-    return ToBytes(
+    Json refusal =
         Json::array({std::string(AnswerFor(aAnswer.m_error->m_kind).m_name),
-                     aAnswer.m_error->m_message}));
+                     aAnswer.m_error->m_message});
+    if (aAnswer.m_handedOver) refusal.push_back(true);
+    return ToBytes(refusal);
   }
   Json answer =
       Json::array({"", static_cast<int>(aAnswer.m_state), aAnswer.m_count});
@@ -113,6 +137,8 @@
     if (!name.empty()) {
       answer.m_error =
           MakeError(ErrorKindFromName(name), json.at(1).get<std::string>());
+      answer.m_handedOver =
+          json.size() > kHandedOver && json.at(kHandedOver).get<bool>();
       return answer;
     }
     const int state = json.at(1).get<int>();
--- a/src/codec/peer_call_cbor.h
+++ b/src/codec/peer_call_cbor.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "core/error/error_type.h"
+#include "core/sched/claim_type.h"
 #include "core/sched/commit_cmd.h"
 #include "core/sched/job_cmd.h"
 
@@ -21,7 +22,8 @@
   LookUp,
   Cancel,
   CountPending,
-  Adopt,  ///< Takes over a job from another cell.
+  Adopt,     ///< Takes over a job from another cell.
+  HandOver,  ///< Asks the owner of a cell to hand it over to the sender.
 };
 
 struct PeerCall {
@@ -35,6 +37,7 @@
   Duration m_window{};         ///< How long the sender waits for an answer.
   sched::JobSpec m_spec;       ///< For Submit and Adopt only.
   sched::StoredState m_state;  ///< For Adopt only.
+  sched::HandoverRequest m_handover;  ///< For HandOver only.
 };
 
 struct PeerAnswer {
@@ -43,6 +46,9 @@
   uint64_t m_count = 0;                               ///< For CountPending.
   /** Nothing was done: the call belongs to this cell. */
   std::optional<CellId> m_routedTo;
+  /** With m_error: the cell is being handed over to a named successor, which
+   *  can answer soon. */
+  bool m_handedOver = false;
 };
 
 [[nodiscard]] std::string EncodePeerCall(const PeerCall& aCall);
--- /dev/null
+++ b/src/core/sched/claim_type.h
@@ -0,0 +1,100 @@
+/**
+ * @file claim_type.h What a VM can carry, and what is known when it may claim
+ * a cell or ask for one.
+ */
+
+#ifndef BRONZE_CORE_SCHED_CLAIM_TYPE_H_
+#define BRONZE_CORE_SCHED_CLAIM_TYPE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+#include "core/base/id_type.h"
+#include "core/base/resources_type.h"
+#include "core/base/time_type.h"
+
+namespace bronze::sched {
+
+using KilobitsPerSecond = Quantity<struct KilobitsPerSecondTag>;
+
+/** What a VM may use; a row of an earlier build lacks some of it. */
+struct VmCapability {
+  Millicores m_cpu;          ///< 0: unknown.
+  KilobitsPerSecond m_link;  ///< 0: unknown.
+
+  friend bool operator==(const VmCapability&, const VmCapability&) = default;
+};
+
+/** A VM that considers the claim of a cell without a live owner. */
+struct ClaimView {
+  VmId m_vm;
+  CellId m_cell;
+  VmCapability m_own;
+  /** Largest VM that is known from the owner row and from heartbeats. */
+  VmCapability m_largest;
+  size_t m_ownedCells = 0;  ///< Cells that this VM owns or claims.
+  VmId m_successor;         ///< That the former owner has named; may be empty.
+};
+
+/** What made a VM wait with its claim for longer than the usual spread. */
+enum class ClaimReason : uint8_t {
+  Spread,
+  Successor,
+  SmallerVm,
+  OtherSuccessor
+};
+
+struct ClaimDelay {
+  Duration m_delay{};
+  ClaimReason m_reason = ClaimReason::Spread;
+};
+
+/** A VM that considers to ask the owner of a cell for it. */
+struct AskView {
+  VmCapability m_own;
+  size_t m_ownedCells = 0;   ///< Cells that this VM owns or claims.
+  VmCapability m_owner;      ///< Of the cell.
+  size_t m_ownersCells = 1;  ///< Cells that the owner has.
+  /** Quick reads of the store in a row, up to the last one. */
+  uint32_t m_goodReads = 0;
+  std::optional<TimePoint> m_lostAt;  ///< When it lost this cell unwillingly.
+  TimePoint m_notBefore;              ///< Pause after the last request.
+};
+
+/** A VM's request for a cell. */
+struct HandoverRequest {
+  VmId m_vm;
+  Incarnation m_incarnation;
+  VmCapability m_capability;
+
+  friend bool operator==(const HandoverRequest&,
+                         const HandoverRequest&) = default;
+};
+
+/** The owner that is asked for its cell. */
+struct HandoverView {
+  VmCapability m_own;
+  std::optional<TimePoint> m_schedulingSince;  ///< Not set: it still loads.
+  bool m_isReleasing = false;
+  bool m_wasHandedOver = false;  ///< This term began by a handover.
+  /** Heartbeats and commits are acknowledged. */
+  bool m_storeResponds = false;
+  // The owner before this one, if it did not release the cell.
+  VmId m_lostBy;
+  Incarnation m_lostByIncarnation;
+};
+
+enum class HandoverAnswer : uint8_t {
+  Accepted,
+  GainTooSmall,
+  Loading,
+  Releasing,
+  TermTooShort,
+  StoreUnavailable,
+  LostItLately,
+};
+
+}  // namespace bronze::sched
+
+#endif  // BRONZE_CORE_SCHED_CLAIM_TYPE_H_
--- a/src/scheduler/cell_directory.cpp
+++ b/src/scheduler/cell_directory.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "core/sched/claim_func.h"
 #include "scheduler/boot_clock.h"
 #include "scheduler/cell_owner.h"
 #include "scheduler/owner_timing.h"
@@ -20,6 +21,11 @@
 constexpr Duration kSlowReadInterval = milliseconds(1500);
 /** Share of the CPU of the largest owner below which a VM reads slowly. */
 constexpr double kSlowShare = 0.6;
+/** A slower answer shows a store that is under load or a link that is. */
+constexpr Duration kGoodReadTime = milliseconds(200);
+/** A named successor sends its first heartbeat within this time, or the cell is
+ *  claimed by another VM later. */
+constexpr Duration kMaxHandoverTime = milliseconds(1500);
 constexpr Duration kReadTimeout = milliseconds(1000);
 /** After a longer gap between two successful reads than this beyond the
  *  interval, an unchanged heartbeat does not show that the owner is gone: it
@@ -37,10 +43,11 @@
 
 CellDirectory::CellDirectory(boost::asio::io_context& aContext,
                              StoreClient& aStore, EventLog& aLog,
-                             double aCpuShare, std::function<void()> aOnRead)
+                             sched::VmCapability aCapability,
+                             std::function<void()> aOnRead)
     : m_store(aStore),
       m_log(aLog),
-      m_cpuShare(aCpuShare),
+      m_capability(aCapability),
       m_onRead(std::move(aOnRead)),
       m_timer(aContext) {}
 
@@ -51,13 +58,34 @@
 
 Duration CellDirectory::Interval() const {
   if (m_ownsCell) return kReadInterval;
-  double largest = 0.0;
+  const auto own = static_cast<double>(m_capability.m_cpu.Value());
+  const auto largest = static_cast<double>(LargestOwner().m_cpu.Value());
+  return own < largest * kSlowShare ? kSlowReadInterval : kReadInterval;
+}
+
+sched::VmCapability CellDirectory::LargestOwner() const {
+  sched::VmCapability largest;
   for (const CellView& view : m_views) {
     if (view.m_heartbeat && !view.m_heartbeat->m_vm.empty()) {
-      largest = std::max(largest, view.m_heartbeat->m_cpuShare);
+      largest = sched::LargerOf(largest, view.m_heartbeat->m_capability);
     }
   }
-  return m_cpuShare < largest * kSlowShare ? kSlowReadInterval : kReadInterval;
+  return largest;
+}
+
+size_t CellDirectory::CellsOf(const std::string& aVm) const {
+  return static_cast<size_t>(std::count_if(
+      m_views.begin(), m_views.end(), [&aVm](const CellView& aView) {
+        return aView.m_heartbeat && aView.m_heartbeat->m_vm == aVm;
+      }));
+}
+
+bool CellDirectory::IsHandedOver(CellId aCell) const {
+  if (aCell.Value() >= m_views.size()) return false;
+  const CellView& view = m_views[aCell.Value()];
+  return view.m_heartbeat && view.m_heartbeat->m_vm.empty() &&
+         !view.m_heartbeat->m_successor.empty() &&
+         BootNow() - view.m_changedAt < kMaxHandoverTime;
 }
 
 void CellDirectory::ReadLater(Duration aPause) {
@@ -77,6 +105,7 @@
 
 void CellDirectory::Read() {
   m_reading = true;
+  m_readSentAt = BootNow();
   m_store.Read(kHeartbeatTable, "", "", kReadTimeout,
                [this](const RowsResult& aResult) { OnRead(aResult); });
 }
@@ -84,8 +113,11 @@
 void CellDirectory::OnRead(const RowsResult& aResult) {
   m_reading = false;
   ReadLater(Interval());
-  if (aResult.m_outcome != StoreOutcome::Done) return;
   const TimePoint now = BootNow();
+  const bool isGood = aResult.m_outcome == StoreOutcome::Done &&
+                      now - m_readSentAt <= kGoodReadTime;
+  m_goodReads = isGood ? m_goodReads + 1 : 0;
+  if (aResult.m_outcome != StoreOutcome::Done) return;
   const bool gap = !m_everRead || now - m_readAt > Interval() + kMaxReadGap;
   for (const StoreRow& row : aResult.m_rows) {
     const std::string& key = row.m_key.m_key;
--- a/src/scheduler/cell_directory.h
+++ b/src/scheduler/cell_directory.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-#include "codec/job_cbor.h"
+#include "codec/cell_row_cbor.h"
 #include "platform/store_client.h"
 #include "scheduler/event_log.h"
 
@@ -33,7 +33,7 @@
  public:
   /** @param aOnRead called after each successful read. */
   CellDirectory(boost::asio::io_context& aContext, StoreClient& aStore,
-                EventLog& aLog, double aCpuShare,
+                EventLog& aLog, sched::VmCapability aCapability,
                 std::function<void()> aOnRead);
 
   void Start(uint32_t aCells);
@@ -52,6 +52,19 @@
    *          alive. */
   [[nodiscard]] std::optional<std::string> AddressOf(CellId aCell) const;
 
+  /** @return whether the cell's last owner has just handed it over to a named
+   *          successor that has sent no heartbeat yet. */
+  [[nodiscard]] bool IsHandedOver(CellId aCell) const;
+
+  /** @return the quick reads in a row, up to the last one. */
+  [[nodiscard]] uint32_t GoodReads() const { return m_goodReads; }
+
+  /** @return the cells whose last heartbeat names the VM. */
+  [[nodiscard]] size_t CellsOf(const std::string& aVm) const;
+
+  /** @return the capability of the largest VM that owns a cell. */
+  [[nodiscard]] sched::VmCapability LargestOwner() const;
+
   /** @return the published loads, by cell; zero for one without a live owner.
    */
   [[nodiscard]] std::vector<sched::CellLoad> Loads() const;
@@ -65,7 +78,7 @@
 
   StoreClient& m_store;
   EventLog& m_log;
-  double m_cpuShare;
+  sched::VmCapability m_capability;  ///< Of this VM.
   std::function<void()> m_onRead;
   boost::asio::steady_timer m_timer;
   std::vector<CellView> m_views;  ///< By cell.
@@ -74,6 +87,8 @@
   bool m_everRead = false;
   TimePoint m_nextReadAt;
   TimePoint m_readAt;  ///< Of the last successful read.
+  TimePoint m_readSentAt;
+  uint32_t m_goodReads = 0;
 };
 
 }  // namespace bronze
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -58,7 +58,8 @@
       m_heartbeatVersion(aTerm.m_heartbeatVersion),
       m_leaseReach(sched::LeaseReach(m_ownerRow.m_longestLease)),
       m_earlierHeartbeatsEnd(aTerm.m_heartbeatReadAt),
-      m_loads(aTerm.m_layout.m_cells) {
+      m_loads(aTerm.m_layout.m_cells),
+      m_previousRow(std::move(aTerm.m_previousRow)) {
   SetSettings(aSettings);
   m_cell.m_fence = FencingToken(m_ownerVersion.Value());
   m_lastCommitSentAt = BootNow();
@@ -132,6 +133,7 @@
         std::chrono::duration_cast<milliseconds>(now - m_lastCommitSentAt)
             .count());
   }
+  CheckHandover(now);
   SendHeartbeat(now);
   ExchangeInterference(now);
   CheckOldRoute(now);
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -19,10 +19,12 @@
 #include <memory>
 #include <set>
 
+#include "codec/cell_row_cbor.h"
 #include "codec/job_cbor.h"
 #include "codec/peer_call_cbor.h"
 #include "core/metrics/histogram_type.h"
 #include "core/sched/commit_cmd.h"
+#include "core/sched/handover_func.h"
 #include "core/sched/live_config_type.h"
 #include "platform/advice_client.h"
 #include "platform/runner_client.h"
@@ -52,12 +54,21 @@
 /** Sends a call to the owner of its cell. */
 using PeerCaller = std::function<void(PeerCall, AnswerHandler)>;
 
+/** How cells changed their owners, for the metrics of this VM. */
+struct OwnershipCounts {
+  std::map<std::string, uint64_t> m_deferredClaims;  ///< By reason.
+  uint64_t m_leftClaims = 0;  ///< Deferred, then claimed by another VM.
+  std::map<std::string, uint64_t> m_handovers;  ///< As owner, by result.
+  std::map<std::string, uint64_t> m_requests;   ///< As asker, by result.
+};
+
 /** What an owner uses to reach other processes. */
 struct OwnerLinks {
   StoreClient& m_store;
   RunnerClient& m_runners;
   AdviceClient& m_advisor;
   PeerCaller m_callPeer;
+  OwnershipCounts& m_counts;
 };
 
 struct OwnerSettings {
@@ -75,6 +86,7 @@
   RowVersion m_version;           ///< Of m_row in the store.
   RowVersion m_heartbeatVersion;  ///< Of the heartbeat row, as last read.
   TimePoint m_heartbeatReadAt;    ///< When that version was first read.
+  OwnerRow m_previousRow;         ///< That the claim replaced.
 };
 
 /** A transaction holds at most 100 entries. Two are for the owner row: its
@@ -108,6 +120,9 @@
   /** Stops without another commit, and fails the calls that still wait. */
   void Abandon();
 
+  /** @return the VM that the cell was handed over to; empty: it was not. */
+  [[nodiscard]] const std::string& HandedTo() const { return m_handedTo; }
+
   [[nodiscard]] const sched::Cell& State() const { return m_cell; }
   [[nodiscard]] CellId Cell() const { return m_cellId; }
   [[nodiscard]] const LatencyHistogram& CommitTimes() const {
@@ -198,6 +213,20 @@
    *  callers that these jobs will not run. */
   void RefuseUnstored(bool aCommitUnderWay);
 
+  // cell_owner_handover.cpp
+  /** Hands the cell over to the sender, or tells why not. */
+  void HandleRequest(const PeerCall& aCall, AnswerHandler aHandler);
+  void NoteAsker(const sched::HandoverRequest& aRequest);
+  [[nodiscard]] sched::HandoverView ViewForHandover(TimePoint aNow) const;
+  /** @return the capability of the largest VM that has lately asked. */
+  [[nodiscard]] sched::VmCapability RecentAsker(TimePoint aNow) const;
+  /** Continues as owner if the release does not get to the store in time. */
+  void CheckHandover(TimePoint aNow);
+  /** @return whether the release was taken back. */
+  bool WithdrawHandover(std::string_view aReason);
+  /** The cell is released or lost. */
+  void EndHandover(std::string_view aResult);
+
   // cell_owner_commit.cpp
   void StartCommit();
   /** @return the unresponsive runners of m_commit, with their lease ends on the
@@ -296,6 +325,23 @@
   TimePoint m_nextRouteCheckAt;
 
   std::multimap<JobId, Waiter> m_waiters;
+  /** Release that another VM has asked for. */
+  struct Handover {
+    std::string m_to;
+    sched::VmCapability m_capability;  ///< Of m_to.
+    TimePoint m_begunAt;
+    AnswerHandler m_handler;
+    bool m_mayWithdraw = true;  ///< False once the process is to end.
+  };
+  struct Asker {
+    sched::VmCapability m_capability;
+    TimePoint m_askedAt;
+  };
+  OwnerRow m_previousRow;        ///< That the claim of this term replaced.
+  TimePoint m_schedulingSince;   ///< Valid if m_loaded.
+  std::optional<Asker> m_asker;  ///< Largest VM that has asked.
+  std::optional<Handover> m_handover;
+  std::string m_handedTo;
   std::function<void()> m_onReleased;  ///< Set once Release was called.
   /** The owner row without an owner is on its way: nothing may start. */
   bool m_releaseSent = false;
--- a/src/scheduler/cell_owner_calls.cpp
+++ b/src/scheduler/cell_owner_calls.cpp
@@ -28,9 +28,14 @@
 
 void CellOwner::Handle(PeerCall aCall, AnswerHandler aHandler) {
   PeerAnswer answer;
+  if (aCall.m_verb == PeerVerb::HandOver) {
+    HandleRequest(aCall, std::move(aHandler));
+    return;
+  }
   if (!IsScheduling() || m_onReleased) {
     answer.m_error = MakeError(ErrorKind::NotOwner,
                                "the cell is being loaded or handed over");
+    answer.m_handedOver = m_handover.has_value();
     aHandler(std::move(answer));
     return;
   }
@@ -71,6 +76,8 @@
     case PeerVerb::Adopt:
       Adopt(std::move(aCall), std::move(aHandler));
       return;
+    case PeerVerb::HandOver:
+      return;
     case PeerVerb::CountPending:
       // Without authority there may be another owner, whose jobs are missing.
       if (HasAuthority(now)) {
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -54,10 +54,12 @@
   ++m_ownerRow.m_sequence;
   // Without the stored state, nothing is known of the runners.
   if (m_loaded) m_ownerRow.m_unresponsive = UnresponsiveRows();
+  m_ownerRow.m_largestAsker = RecentAsker(now);
   // The last commit before a handover clears the owner, so that another daemon
   // can claim the cell without waiting for kOwnerTimeout.
   if (releasing && !sched::HasCommit(m_cell)) {
     m_ownerRow.m_vm.clear();
+    if (m_handover) m_ownerRow.m_successor = m_handover->m_to;
     m_releaseSent = true;
   }
   m_transaction = {};
@@ -180,7 +182,9 @@
   m_commitPending = false;
   // A last commit that was refused is made again.
   m_ownerRow.m_vm = m_vm;
+  m_ownerRow.m_successor.clear();
   m_releaseSent = false;
+  WithdrawHandover("the store refused the commit");
   m_commitNotBefore = BootNow() + kRetryPause;
   RefuseUnstored(false);
 }
@@ -236,6 +240,16 @@
     aDone();
     return;
   }
+  if (m_handover && m_onReleased) {
+    // The process is to end while the cell is handed over to another VM.
+    m_handover->m_mayWithdraw = false;
+    m_onReleased = [first = std::move(m_onReleased),
+                    second = std::move(aDone)] {
+      first();
+      second();
+    };
+    return;
+  }
   m_onReleased = std::move(aDone);
   if (m_loaded) {
     RequestPass();
@@ -263,6 +277,7 @@
               m_cellId.Value(), m_cell.m_fence.Value(), aReason);
   const auto released = std::move(m_onReleased);
   Abandon();
+  if (m_handover) EndHandover("lost");
   if (released) released();
   m_onLost();
 }
--- a/src/scheduler/cell_owner_heartbeat.cpp
+++ b/src/scheduler/cell_owner_heartbeat.cpp
@@ -46,7 +46,7 @@
   row.m_incarnation = m_ownerRow.m_incarnation;
   row.m_address = m_ownerRow.m_address;
   row.m_sequence = ++m_heartbeatSequence;
-  row.m_cpuShare = m_ownerRow.m_cpuShare;
+  row.m_capability = m_ownerRow.m_capability;
   row.m_term = m_cell.m_fence;
   if (m_loaded) row.m_load = sched::LoadOf(m_cell);
   m_loads[m_cellId.Value()] = row.m_load;
@@ -126,6 +126,7 @@
   row.m_incarnation = m_ownerRow.m_incarnation;
   row.m_sequence = ++m_heartbeatSequence;
   row.m_term = m_cell.m_fence;
+  row.m_successor = m_ownerRow.m_successor;
   m_store.Transact(HeartbeatTransaction(m_cellId, m_heartbeatVersion, row),
                    kHeartbeatTimeout,
                    [self = shared_from_this(), aTriesLeft,
--- a/src/scheduler/cell_owner_load.cpp
+++ b/src/scheduler/cell_owner_load.cpp
@@ -189,7 +189,8 @@
               "loaded, scheduling cell={} fence={} jobs={} queued_steps={}",
               m_cellId.Value(), m_cell.m_fence.Value(), m_loadedJobs,
               m_cell.m_queue.size());
-  m_lastCommitSentAt = BootNow();
+  m_schedulingSince = BootNow();
+  m_lastCommitSentAt = m_schedulingSince;
   m_runnerWatch = std::make_shared<TableWatch>(
       m_context, m_store, m_log, kRunnerTable, kRunnerWatchTiming,
       TableListener{
--- a/src/scheduler/entry_calls.cpp
+++ b/src/scheduler/entry_calls.cpp
@@ -25,6 +25,9 @@
 /** A call to an owner that gets no answer within this time is repeated, at its
  *  successor if there is one by then. */
 constexpr Duration kAttemptTimeout = milliseconds(1300);
+/** Longest wait of one call for the successor of an owner that has handed its
+ *  cell over; the successor loads the cell meanwhile. */
+constexpr Duration kMaxHandoverWait = milliseconds(1500);
 /** A shorter rest of the caller's window is not worth another attempt. */
 constexpr Duration kMinAttempt = milliseconds(150);
 /** Routes that a call follows. A job moves at most four times. */
@@ -141,7 +144,7 @@
     PeerAnswer answer;
     answer.m_error =
         MakeError(ErrorKind::NotReady, "no owner of the cell is known");
-    if (aCall.m_fate.m_mayBeDone) {
+    if (aCall.m_fate.m_mayBeDone || IsHandedOver(cell)) {
       RetryLater(std::move(aCall), "", std::move(answer));
     } else {
       Finish(aCall, std::move(answer));
@@ -203,6 +206,11 @@
   aCall.m_handler(std::move(aAnswer));
 }
 
+bool EntryNode::IsHandedOver(CellId aCell) const {
+  return m_directory.IsHandedOver(aCell) ||
+         m_elections[aCell.Value()]->IsHandedOver();
+}
+
 bool EntryNode::ChangesJob(PeerVerb aVerb) {
   switch (aVerb) {
     case PeerVerb::Submit:
@@ -211,12 +219,15 @@
       return true;
     case PeerVerb::LookUp:
     case PeerVerb::CountPending:
+    case PeerVerb::HandOver:
       return false;
   }
   return true;
 }
 
 bool EntryNode::MayRepeat(const OwnerCall& aCall, const Error& aError) {
+  // The VM that asks decides whether and whom to ask again.
+  if (aCall.m_call.m_verb == PeerVerb::HandOver) return false;
   const bool hasTime = aCall.m_call.m_window > kMinAttempt;
   switch (aError.m_kind) {
     case ErrorKind::NotOwner:
@@ -251,9 +262,13 @@
         const bool answers = last.m_error->m_kind != ErrorKind::OutcomeUnknown;
         const bool mustKnow = call.m_fate.m_mayBeDone || !answers;
         const bool hasTime = call.m_call.m_window > kMinAttempt;
-        if (otherOwner || (address && answers && mustKnow && hasTime)) {
+        const bool hasSuccessor = (last.m_handedOver || IsHandedOver(cell)) &&
+                                  call.m_handoverWait < kMaxHandoverWait;
+        if (hasSuccessor) call.m_handoverWait += kRetryPause;
+        const bool again = answers && (mustKnow || hasSuccessor) && hasTime;
+        if (otherOwner || (address && again)) {
           Attempt(std::move(call));
-        } else if (mustKnow && hasTime) {
+        } else if ((mustKnow || hasSuccessor) && hasTime) {
           RetryLater(std::move(call), tried, std::move(last));
         } else {
           Finish(call, std::move(last));
@@ -408,6 +423,8 @@
       PeerAnswer answer;
       answer.m_error =
           MakeError(ErrorKind::NotOwner, "this daemon does not own the cell");
+      answer.m_handedOver =
+          cell < m_elections.size() && m_elections[cell]->IsHandedOver();
       answerer(answer);
       return;
     }
--- a/src/scheduler/entry_metrics.cpp
+++ b/src/scheduler/entry_metrics.cpp
@@ -82,6 +82,20 @@
                 fmt::format("settings_reloads_total{{result=\"{}\"}}", result),
                 count);
   }
+  const auto appendByLabel = [&text](std::string_view aName,
+                                     std::string_view aLabel,
+                                     const auto& aCounts) {
+    for (const auto& [value, count] : aCounts) {
+      AppendCount(text, fmt::format("{}{{{}=\"{}\"}}", aName, aLabel, value),
+                  count);
+    }
+  };
+  appendByLabel("claims_deferred_total", "reason",
+                m_ownershipCounts.m_deferredClaims);
+  AppendCount(text, "claims_left_total", m_ownershipCounts.m_leftClaims);
+  appendByLabel("handovers_total", "result", m_ownershipCounts.m_handovers);
+  appendByLabel("handover_requests_total", "result",
+                m_ownershipCounts.m_requests);
   AppendCount(text, "store_calls_total",
               m_store.Calls() + m_configStore.Calls());
   AppendCount(text, "store_failures_total",
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -47,7 +47,7 @@
       m_advisor(m_context, aConfig.m_adviceAddress),
       m_peers(m_context, {kIdleConnectionsPerPeer, kMaxPeerAnswerBytes,
                           kBusyConnectionsPerPeer}),
-      m_directory(m_context, m_store, m_log, aConfig.m_cpuShare,
+      m_directory(m_context, m_store, m_log, CapabilityOf(aConfig),
                   [this] { OnDirectoryRead(); }),
       m_configStore(aTraffic, aConfig.m_storeAddress, BootNow),
       m_drainTimer(m_context),
@@ -83,7 +83,7 @@
   m_layout = aLayout;
   const NodeIdentity identity{
       m_config.m_vm, m_incarnation, AddressText(m_config.m_peerAddress),
-      m_config.m_cpuShare, [this] {
+      CapabilityOf(m_config), [this] {
         return static_cast<size_t>(std::count_if(
             m_elections.begin(), m_elections.end(),
             [](const auto& aElection) { return aElection->IsClaimed(); }));
@@ -91,7 +91,8 @@
   const OwnerLinks links{m_store, m_runners, m_advisor,
                          [this](PeerCall aCall, AnswerHandler aHandler) {
                            CallOwner(std::move(aCall), std::move(aHandler));
-                         }};
+                         },
+                         m_ownershipCounts};
   for (uint32_t cell = 0; cell < aLayout.m_cells; ++cell) {
     m_elections.push_back(std::make_shared<OwnerElection>(
         m_context, links, m_directory, m_log, CellId(cell), aLayout, identity,
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -74,6 +74,7 @@
     /** Routes that may still be followed; not set: none is. */
     std::optional<int> m_hopsLeft;
     AnswerHandler m_handler;
+    Duration m_handoverWait{};  ///< Spent on waiting for a successor.
   };
 
   /** Called on the traffic thread. */
@@ -93,6 +94,8 @@
                  PeerAnswer aAnswer);
   /** Calls the owner of the cell that the answer names. */
   void FollowRoute(OwnerCall aCall, PeerAnswer aAnswer);
+  /** Whether the cell has been handed over and has a successor soon. */
+  [[nodiscard]] bool IsHandedOver(CellId aCell) const;
   /** Whether the call asks for a change of a job. */
   [[nodiscard]] static bool ChangesJob(PeerVerb aVerb);
   /** Whether the call may be made again after the error. */
@@ -134,6 +137,7 @@
   AdviceClient m_advisor;
   HttpClient m_peers;
   CellDirectory m_directory;
+  OwnershipCounts m_ownershipCounts;
   sched::CellLayout m_layout;
   std::shared_ptr<LayoutKeeper> m_layoutKeeper;
   std::vector<std::shared_ptr<OwnerElection>> m_elections;  ///< By CellId.
--- a/src/scheduler/layout_keeper.h
+++ b/src/scheduler/layout_keeper.h
@@ -14,7 +14,7 @@
 #include <functional>
 #include <memory>
 
-#include "codec/job_cbor.h"
+#include "codec/cell_row_cbor.h"
 #include "platform/store_client.h"
 #include "scheduler/event_log.h"
 
--- a/src/scheduler/node_policy.cpp
+++ b/src/scheduler/node_policy.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace bronze {
 
@@ -76,6 +77,11 @@
   return policy;
 }
 
+sched::VmCapability CapabilityOf(const NodeConfig& aConfig) {
+  return {Millicores(std::llround(aConfig.m_cpuShare * 1000.0)),
+          sched::KilobitsPerSecond(std::llround(aConfig.m_linkMbps * 1000.0))};
+}
+
 WatchTiming ConfigWatchTiming(const NodeConfig& aConfig) {
   WatchTiming timing;
   timing.m_wait =
--- a/src/scheduler/node_policy.h
+++ b/src/scheduler/node_policy.h
@@ -13,6 +13,9 @@
 
 namespace bronze {
 
+/** @return what this VM can carry, for claims and handovers of cells. */
+[[nodiscard]] sched::VmCapability CapabilityOf(const NodeConfig& aConfig);
+
 [[nodiscard]] OwnerSettings OwnerSettingsOf(const NodeConfig& aConfig);
 
 /** @param aRunnersPerCell 0: as many as a VM like this one can serve. */
--- a/src/scheduler/owner_election.cpp
+++ b/src/scheduler/owner_election.cpp
@@ -17,16 +17,11 @@
 
 constexpr Duration kReadTimeout = milliseconds(1000);
 constexpr Duration kClaimTimeout = milliseconds(1200);
-/** Claims of a cell without an owner are spread over this time, by a hash of
- * the VM's name and the cell. */
-constexpr uint64_t kClaimSpreadMs = 400;
-/** Most that a VM with less CPU than the last owner adds to its delay before it
- *  claims a cell. */
-constexpr Duration kMaxSmallVmDelay = milliseconds(500);
-/** Delay that each cell of this VM adds. */
-constexpr Duration kOwnedCellDelay = milliseconds(350);
-/** CPU of the last owner, in cores, assumed if none is known. */
-constexpr double kDefaultOwnerCpuShare = 0.25;
+/** A request takes as long as the release of the cell. */
+constexpr Duration kHandoverWindow = milliseconds(2500);
+/** A successor owns the cell within this time after its release, or another VM
+ *  claims it later. */
+constexpr Duration kMaxHandoverTime = milliseconds(1500);
 
 }  // namespace
 
@@ -78,9 +73,7 @@
 void OwnerElection::OnDirectoryRead() {
   if (m_owner || m_busy || m_handingOver) return;
   if (HasLiveOwner(BootNow())) {
-    m_seen.reset();
-    m_vacantSince = TimePoint();
-    m_timer.cancel();
+    OnLiveOwner(BootNow());
     return;
   }
   ReadOwnerRow();
@@ -118,18 +111,100 @@
   ConsiderClaim(now);
 }
 
-Duration OwnerElection::ClaimDelay(const OwnerRow& aLast) const {
-  const double wanted =
-      aLast.m_cpuShare > 0.0 ? aLast.m_cpuShare : kDefaultOwnerCpuShare;
-  const double lacking =
-      std::clamp((wanted - m_identity.m_cpuShare) / wanted, 0.0, 1.0);
-  const std::string& name = m_identity.m_vm.Value();
-  const uint64_t hash =
-      XXH3_64bits_withSeed(name.data(), name.size(), m_cell.Value());
-  return milliseconds(static_cast<int64_t>(hash % kClaimSpreadMs)) +
-         Duration(static_cast<int64_t>(
-             lacking * static_cast<double>(kMaxSmallVmDelay.count()))) +
-         kOwnedCellDelay * static_cast<int64_t>(m_identity.m_claimedCells());
+sched::ClaimDelay OwnerElection::ClaimDelayAfter(const OwnerRow& aLast) const {
+  sched::ClaimView view;
+  view.m_vm = m_identity.m_vm;
+  view.m_cell = m_cell;
+  view.m_own = m_identity.m_capability;
+  view.m_largest =
+      sched::LargerOf(sched::LargerOf(aLast.m_capability, aLast.m_largestAsker),
+                      m_directory.LargestOwner());
+  view.m_ownedCells = m_identity.m_claimedCells();
+  // A successor that has claimed the cell clears the name.
+  view.m_successor = VmId(aLast.m_successor);
+  return sched::DecideClaimDelay(view);
+}
+
+void OwnerElection::NoteDeferral(const OwnerRow& aLast,
+                                 const sched::ClaimDelay& aDelay) {
+  const bool isUsual = aDelay.m_reason == sched::ClaimReason::Spread ||
+                       aDelay.m_reason == sched::ClaimReason::Successor;
+  if (isUsual || m_claimDeferred) return;
+  m_claimDeferred = true;
+  const std::string_view reason = sched::NameOf(aDelay.m_reason);
+  ++m_links.m_counts.m_deferredClaims[std::string(reason)];
+  m_log.Write("[cell]",
+              "claim deferred cell={} reason={} delay_ms={} cpu={} last_cpu={} "
+              "largest_asker_cpu={} successor={}",
+              m_cell.Value(), reason,
+              std::chrono::duration_cast<milliseconds>(aDelay.m_delay).count(),
+              m_identity.m_capability.m_cpu.Value(),
+              aLast.m_capability.m_cpu.Value(),
+              aLast.m_largestAsker.m_cpu.Value(), aLast.m_successor);
+}
+
+void OwnerElection::OnLiveOwner(TimePoint aNow) {
+  m_seen.reset();
+  m_vacantSince = TimePoint();
+  m_timer.cancel();
+  if (m_claimDeferred) {
+    m_claimDeferred = false;
+    ++m_links.m_counts.m_leftClaims;
+    const HeartbeatRow& owner = *m_directory.Of(m_cell).m_heartbeat;
+    m_log.Write("[cell]", "claim left cell={} to={} cpu={} own_cpu={}",
+                m_cell.Value(), owner.m_vm, owner.m_capability.m_cpu.Value(),
+                m_identity.m_capability.m_cpu.Value());
+  }
+  ConsiderAsking(aNow);
+}
+
+void OwnerElection::ConsiderAsking(TimePoint aNow) {
+  const HeartbeatRow& owner = *m_directory.Of(m_cell).m_heartbeat;
+  sched::AskView view;
+  view.m_own = m_identity.m_capability;
+  view.m_ownedCells = m_identity.m_claimedCells();
+  view.m_owner = owner.m_capability;
+  view.m_ownersCells = m_directory.CellsOf(owner.m_vm);
+  view.m_goodReads = m_directory.GoodReads();
+  view.m_lostAt = m_lostAt;
+  view.m_notBefore = m_askNotBefore;
+  if (m_asking || !sched::ShouldAsk(view, aNow)) return;
+  m_log.Write("[cell]", "asking for cell={} owner={} cpu={} own_cpu={}",
+              m_cell.Value(), owner.m_vm, owner.m_capability.m_cpu.Value(),
+              m_identity.m_capability.m_cpu.Value());
+  PeerCall call;
+  call.m_verb = PeerVerb::HandOver;
+  call.m_cell = m_cell;
+  call.m_window = kHandoverWindow;
+  call.m_handover = {m_identity.m_vm, Incarnation(m_identity.m_incarnation),
+                     m_identity.m_capability};
+  m_asking = true;
+  m_links.m_callPeer(std::move(call),
+                     [self = shared_from_this()](const PeerAnswer& aAnswer) {
+                       self->OnHandoverAnswer(aAnswer);
+                     });
+}
+
+void OwnerElection::OnHandoverAnswer(const PeerAnswer& aAnswer) {
+  m_asking = false;
+  const bool isAnswered =
+      !aAnswer.m_error || aAnswer.m_error->m_kind != ErrorKind::OutcomeUnknown;
+  m_askNotBefore = sched::NextAskTime(isAnswered, BootNow());
+  const std::string_view result = !aAnswer.m_error ? "accepted"
+                                  : isAnswered     ? "declined"
+                                                   : "unanswered";
+  ++m_links.m_counts.m_requests[std::string(result)];
+  m_log.Write("[cell]", "request for cell={} {} reason={}", m_cell.Value(),
+              result, aAnswer.m_error ? aAnswer.m_error->m_message : "");
+  // The next read of the directory would show it, too.
+  const bool mayClaim = !m_owner && !m_busy && !m_handingOver;
+  if (!aAnswer.m_error && mayClaim) ReadOwnerRow();
+}
+
+bool OwnerElection::IsHandedOver() const {
+  const bool takesOver = m_isSuccessor && IsClaimed() && !LocalOwner();
+  return takesOver || (m_handedOverAt != TimePoint() &&
+                       BootNow() - m_handedOverAt < kMaxHandoverTime);
 }
 
 void OwnerElection::ConsiderClaim(TimePoint aNow) {
@@ -150,7 +225,9 @@
       : NamesHeartbeatOwner(row)
           ? m_directory.Of(m_cell).m_changedAt + kOwnerTimeout
           : m_seen->m_since + kOwnerTimeout;
-  const Duration left = idleSince + ClaimDelay(row) - aNow;
+  const sched::ClaimDelay delay = ClaimDelayAfter(row);
+  NoteDeferral(row, delay);
+  const Duration left = idleSince + delay.m_delay - aNow;
   if (left <= Duration::zero()) {
     Claim();
     return;
@@ -171,10 +248,14 @@
       m_seen->m_version.Value() > 0 && last.m_longestLease == Duration::zero();
   const Duration longestLease = std::max(
       last.m_longestLease, unknownLease ? cell.m_leaseCap : cell.m_lease);
-  OwnerRow row{m_identity.m_vm.Value(),  m_identity.m_incarnation,
-               m_identity.m_peerAddress, last.m_sequence + 1,
-               m_identity.m_cpuShare,    longestLease,
-               last.m_unresponsive};
+  OwnerRow row;
+  row.m_vm = m_identity.m_vm.Value();
+  row.m_incarnation = m_identity.m_incarnation;
+  row.m_address = m_identity.m_peerAddress;
+  row.m_sequence = last.m_sequence + 1;
+  row.m_capability = m_identity.m_capability;
+  row.m_longestLease = longestLease;
+  row.m_unresponsive = last.m_unresponsive;
   const RowKey key{kOwnerTable, PartOf(m_cell), kOwnerKey};
   StoreTransaction claim;
   claim.m_expected.push_back({key, m_seen->m_version});
@@ -186,33 +267,36 @@
                   .count());
   m_busy = true;
   m_claiming = true;
+  m_isSuccessor = last.m_successor == m_identity.m_vm.Value();
   m_links.m_store.Transact(
       claim, kClaimTimeout,
-      [self = shared_from_this(), row](const TransactionResult& aResult) {
-        self->OnClaimed(row, aResult);
+      [self = shared_from_this(), row, last](const TransactionResult& aResult) {
+        self->OnClaimed(row, last, aResult);
       });
 }
 
 void OwnerElection::OnClaimed(const OwnerRow& aClaimed,
+                              const OwnerRow& aReplaced,
                               const TransactionResult& aResult) {
   if (aResult.m_outcome == StoreOutcome::Done) {
     m_busy = false;
     m_claiming = false;
-    BeginOwning(aClaimed, aResult.m_version);
+    BeginOwning(aClaimed, aReplaced, aResult.m_version);
     return;
   }
   // A claim whose answer was lost may have been stored. The row then names this
   // process, which no other daemon would notice before kOwnerTimeout.
   m_links.m_store.Read(
       kOwnerTable, PartOf(m_cell), "", kReadTimeout,
-      [self = shared_from_this(), aClaimed](const RowsResult& aRows) {
+      [self = shared_from_this(), aClaimed,
+       aReplaced](const RowsResult& aRows) {
         self->m_busy = false;
         self->m_claiming = false;
         for (const StoreRow& row : aRows.m_rows) {
           const auto owner = DecodeOwnerRow(row.m_value);
           if (owner && owner.value().m_vm == aClaimed.m_vm &&
               owner.value().m_incarnation == aClaimed.m_incarnation) {
-            self->BeginOwning(aClaimed, row.m_version);
+            self->BeginOwning(aClaimed, aReplaced, row.m_version);
             return;
           }
         }
@@ -220,27 +304,38 @@
       });
 }
 
-void OwnerElection::BeginOwning(const OwnerRow& aRow, RowVersion aVersion) {
+void OwnerElection::BeginOwning(const OwnerRow& aRow, const OwnerRow& aReplaced,
+                                RowVersion aVersion) {
   m_seen.reset();
   m_vacantSince = TimePoint();
   m_timer.cancel();
-  m_owner =
-      std::make_shared<CellOwner>(m_context, m_links, m_log,
-                                  OwnerTerm{m_cell, m_layout, aRow, aVersion,
-                                            m_directory.Of(m_cell).m_version,
-                                            m_directory.Of(m_cell).m_changedAt},
-                                  m_settings, [weak = weak_from_this()] {
-                                    const auto self = weak.lock();
-                                    if (!self) return;
-                                    self->m_owner.reset();
-                                    self->m_directory.Refresh();
-                                  });
+  m_claimDeferred = false;
+  m_owner = std::make_shared<CellOwner>(
+      m_context, m_links, m_log,
+      OwnerTerm{m_cell, m_layout, aRow, aVersion,
+                m_directory.Of(m_cell).m_version,
+                m_directory.Of(m_cell).m_changedAt, aReplaced},
+      m_settings, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) self->OnOwnerEnded();
+      });
   if (m_config) m_owner->SetConfig(*m_config);
   m_owner->Start();
   // The claim was on its way when the process was told to end.
   if (m_handingOver) HandOver([] {});
 }
 
+void OwnerElection::OnOwnerEnded() {
+  const TimePoint now = BootNow();
+  if (m_owner && !m_owner->HandedTo().empty()) {
+    m_handedOverAt = now;
+  } else {
+    m_lostAt = now;
+  }
+  m_owner.reset();
+  m_directory.Refresh();
+}
+
 void OwnerElection::HandOver(std::function<void()> aDone) {
   m_handingOver = true;
   m_timer.cancel();
--- a/src/scheduler/owner_election.h
+++ b/src/scheduler/owner_election.h
@@ -7,7 +7,9 @@
  * is read. The cell is claimed when that row is missing or names no owner,
  * names an earlier process of this VM, or names the process whose heartbeat
  * stopped. A row that names a process without a heartbeat must not change for
- * kOwnerTimeout, either.
+ * kOwnerTimeout, either. How long a VM waits then depends on what it can carry
+ * (claim_func.h). A VM that is much larger than a live owner asks it for the
+ * cell (handover_func.h).
  */
 
 #ifndef BRONZE_SCHEDULER_OWNER_ELECTION_H_
@@ -17,6 +19,7 @@
 #include <memory>
 #include <optional>
 
+#include "core/sched/claim_func.h"
 #include "scheduler/cell_directory.h"
 #include "scheduler/cell_owner.h"
 
@@ -27,7 +30,7 @@
   VmId m_vm;
   uint64_t m_incarnation = 0;  ///< Increases with each process start.
   std::string m_peerAddress;
-  double m_cpuShare = 1.0;  ///< CPU limit of this process, in cores.
+  sched::VmCapability m_capability;
   /** @return the number of cells that this process owns or claims. */
   std::function<size_t()> m_claimedCells;
 };
@@ -54,6 +57,10 @@
   /** @return whether this daemon has claimed the cell or is claiming it. */
   [[nodiscard]] bool IsClaimed() const { return m_owner || m_claiming; }
 
+  /** @return whether a handover to a named successor is under way that this VM
+   *          takes part in, so that the cell has an owner soon. */
+  [[nodiscard]] bool IsHandedOver() const;
+
   /** Stops claiming the cell and releases it if this daemon owns it. */
   void HandOver(std::function<void()> aDone);
 
@@ -70,14 +77,23 @@
   [[nodiscard]] bool NamesHeartbeatOwner(const OwnerRow& aRow) const;
   void ReadOwnerRow();
   void OnOwnerRow(const RowsResult& aResult);
-  /** @return the wait before a claim. It differs by VM, and is longer on a VM
-   *  with less CPU than the last owner and on one that owns cells already, so
-   *  that the cells are spread over the largest VMs. */
-  [[nodiscard]] Duration ClaimDelay(const OwnerRow& aLast) const;
+  [[nodiscard]] sched::ClaimDelay ClaimDelayAfter(const OwnerRow& aLast) const;
   void ConsiderClaim(TimePoint aNow);
+  /** Logs and counts that the claim waits, once for each vacancy. */
+  void NoteDeferral(const OwnerRow& aLast, const sched::ClaimDelay& aDelay);
+  /** The cell has a live owner. */
+  void OnLiveOwner(TimePoint aNow);
+  /** Asks the owner for the cell if that is much smaller than this VM. */
+  void ConsiderAsking(TimePoint aNow);
+  void OnHandoverAnswer(const PeerAnswer& aAnswer);
   void Claim();
-  void OnClaimed(const OwnerRow& aClaimed, const TransactionResult& aResult);
-  void BeginOwning(const OwnerRow& aRow, RowVersion aVersion);
+  /** @param aReplaced the row before the claim. */
+  void OnClaimed(const OwnerRow& aClaimed, const OwnerRow& aReplaced,
+                 const TransactionResult& aResult);
+  void BeginOwning(const OwnerRow& aRow, const OwnerRow& aReplaced,
+                   RowVersion aVersion);
+  /** The owner lost the cell or handed it over. */
+  void OnOwnerEnded();
 
   boost::asio::io_context& m_context;
   OwnerLinks m_links;
@@ -95,6 +111,13 @@
   bool m_busy = false;      ///< A read or a claim has no answer yet.
   bool m_claiming = false;  ///< A claim has no answer yet.
   bool m_handingOver = false;
+  bool m_claimDeferred = false;  ///< NoteDeferral was called in this vacancy.
+  bool m_isSuccessor = false;    ///< m_owner or the claim was named.
+  bool m_asking = false;         ///< A request has no answer yet.
+  TimePoint m_askNotBefore;
+  /** When this VM lost the cell without releasing it. */
+  std::optional<TimePoint> m_lostAt;
+  TimePoint m_handedOverAt;  ///< When this VM handed the cell to a successor.
   std::shared_ptr<CellOwner> m_owner;
   std::shared_ptr<const sched::LiveConfig> m_config;  ///< Null: none read yet.
 };
--- a/tests/codec/stored_samples.cpp
+++ b/tests/codec/stored_samples.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "codec/batch_json.h"
+#include "codec/cell_row_cbor.h"
 #include "codec/config_json.h"
 #include "codec/coordination_json.h"
 #include "codec/job_cbor.h"
@@ -101,7 +102,7 @@
   row.m_incarnation = 31;
   row.m_address = "127.0.0.1:7720";
   row.m_sequence = 32;
-  row.m_cpuShare = 0.25;
+  row.m_capability.m_cpu = Millicores(250);
   row.m_longestLease = milliseconds(7000);
   row.m_unresponsive = {{RunnerId("runner-1"), StoreMillis(33)},
                         {RunnerId("runner-2"), StoreMillis(34)}};
@@ -114,7 +115,7 @@
   row.m_incarnation = 171;
   row.m_address = "127.0.0.1:7720";
   row.m_sequence = 172;
-  row.m_cpuShare = 0.5;
+  row.m_capability.m_cpu = Millicores(500);
   row.m_term = FencingToken(173);
   row.m_load = {174, 175, 176, 177, {"a", "b"}};
   return row;
@@ -261,6 +262,35 @@
       Make("peer-answer-error", answer, EncodePeerAnswer, DecodePeerAnswer));
 }
 
+/** Rows and messages with the fields that earlier builds lack. */
+void AddHandoverSamples(std::vector<StoredSample>& aSamples) {
+  OwnerRow owner = SampleOwnerRow();
+  owner.m_capability.m_link = sched::KilobitsPerSecond(181);
+  owner.m_successor = "entry-2";
+  owner.m_largestAsker = {Millicores(182), sched::KilobitsPerSecond(183)};
+  aSamples.push_back(
+      Make("owner-row-successor", owner, EncodeOwnerRow, DecodeOwnerRow));
+  HeartbeatRow heartbeat = SampleHeartbeatRow();
+  heartbeat.m_capability.m_link = sched::KilobitsPerSecond(184);
+  heartbeat.m_successor = "entry-2";
+  aSamples.push_back(Make("heartbeat-row-successor", heartbeat,
+                          EncodeHeartbeatRow, DecodeHeartbeatRow));
+  PeerCall call;
+  call.m_verb = PeerVerb::HandOver;
+  call.m_cell = CellId(131);
+  call.m_window = milliseconds(133);
+  call.m_handover = {VmId("entry-2"),
+                     Incarnation(185),
+                     {Millicores(186), sched::KilobitsPerSecond(187)}};
+  aSamples.push_back(
+      Make("peer-call-handover", call, EncodePeerCall, DecodePeerCall));
+  PeerAnswer answer;
+  answer.m_error = MakeError(ErrorKind::NotOwner, "not the owner");
+  answer.m_handedOver = true;
+  aSamples.push_back(Make("peer-answer-handed-over", answer, EncodePeerAnswer,
+                          DecodePeerAnswer));
+}
+
 void AddBatchRows(std::vector<StoredSample>& aSamples) {
   aSamples.push_back(
       Make("batch-job-row", SampleJobRow(), EncodeJobRow, DecodeJobRow));
@@ -304,6 +334,7 @@
       Make("owner-row", SampleOwnerRow(), EncodeOwnerRow, DecodeOwnerRow));
   samples.push_back(Make("heartbeat-row", SampleHeartbeatRow(),
                          EncodeHeartbeatRow, DecodeHeartbeatRow));
+  AddHandoverSamples(samples);
   samples.push_back(Make("layout-row", LayoutRow{{161}, "entry-1"},
                          EncodeLayoutRow, DecodeLayoutRow));
   samples.push_back(Make("route-row",
--- a/tests/fuzz/wire_fuzz.cpp
+++ b/tests/fuzz/wire_fuzz.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "codec/cell_row_cbor.h"
 #include "codec/job_cbor.h"
 #include "codec/peer_call_cbor.h"
 #include "net/address_func.h"
--- a/tests/scheduler/entry_calls_test.cpp
+++ b/tests/scheduler/entry_calls_test.cpp
@@ -30,13 +30,14 @@
   }
 
   /** Writes the heartbeat of its term. */
-  void Beat(standin::RowStore& aStore, uint64_t aTerm) {
+  void Beat(standin::RowStore& aStore, uint64_t aTerm,
+            Millicores aCpu = Millicores(1000)) {
     HeartbeatRow row;
     row.m_vm = "played-" + std::to_string(aTerm);
     row.m_incarnation = 1;
     row.m_address = m_address;
     row.m_sequence = ++m_sequence;
-    row.m_cpuShare = 1.0;
+    row.m_capability.m_cpu = aCpu;
     row.m_term = FencingToken(aTerm);
     aStore.Put("beat", "", "0", EncodeHeartbeatRow(row));
   }
@@ -118,6 +119,31 @@
   m_nodes.clear();
 }
 
+/** Guards against an owner of an earlier build, which cannot read a request for
+ *  its cell, that is asked again and again. */
+BOOST_AUTO_TEST_CASE(OwnerOfAnEarlierBuildIsAskedRarely) {
+  constexpr uint64_t kTerm = 2;
+  Counters counters;
+  PlayedOwner owner(m_platformThreads, counters,
+                    [](const std::shared_ptr<HttpResponder>& aResponder) {
+                      HttpReply reply;
+                      reply.m_status = 400;
+                      reply.m_body = R"({"error":"bad_request"})";
+                      aResponder->Reply(std::move(reply));
+                    });
+  RunningNode& node = AddNode("n1");
+  const TimePoint begunAt = BootNow();
+  while (BootNow() - begunAt < seconds(7)) {
+    owner.Beat(m_store, kTerm, Millicores(120));
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  BOOST_TEST(owner.Calls() == 1);
+  BOOST_TEST(
+      node.Metrics().find("handover_requests_total{result=\"unanswered\"} 1") !=
+      std::string::npos);
+  m_nodes.clear();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -16,7 +16,7 @@
 #include <thread>
 #include <vector>
 
-#include "codec/job_cbor.h"
+#include "codec/cell_row_cbor.h"
 #include "net/address_func.h"
 #include "net/http_client.h"
 #include "scheduler/entry_node.h"
@@ -28,7 +28,8 @@
 class RunningNode {
  public:
   RunningNode(const std::string& aName,
-              const boost::asio::ip::tcp::endpoint& aStore)
+              const boost::asio::ip::tcp::endpoint& aStore,
+              double aCpuShare = 1.0)
       : m_threads(1),
         m_callers(m_threads, HttpLimits(), m_counters,
                   [this](size_t, HttpCall aCall, auto aResponder) {
@@ -44,11 +45,13 @@
     NodeConfig config;
     config.m_vm = VmId(aName);
     config.m_storeAddress = aStore;
+    config.m_cpuShare = aCpuShare;
     config.m_grace = milliseconds(600);
     config.m_maxLease = seconds(6);
     config.m_statusRetention = seconds(60);
     config.m_callerAddress = m_callers.Listen(any).value();
     config.m_peerAddress = m_peers.Listen(any).value();
+    m_peerAddress = config.m_peerAddress;
     static std::atomic<uint64_t> sIncarnation = 0;
     m_address = config.m_callerAddress;
     // The platform's usual bounds.
@@ -100,6 +103,10 @@
   [[nodiscard]] const boost::asio::ip::tcp::endpoint& Address() const {
     return m_address;
   }
+  /** @return the address for calls of other daemons. */
+  [[nodiscard]] const boost::asio::ip::tcp::endpoint& PeerAddress() const {
+    return m_peerAddress;
+  }
 
  private:
   Result<std::string> SettingsText() {
@@ -115,6 +122,7 @@
   HttpServer m_callers;
   HttpServer m_peers;
   boost::asio::ip::tcp::endpoint m_address;
+  boost::asio::ip::tcp::endpoint m_peerAddress;
   std::thread m_thread;
 };
 
@@ -174,10 +182,10 @@
 
   /** @param aOwnStoreAddress gives the node a store address of its own, so that
    *  the store can refuse only its calls. */
-  RunningNode& AddNode(const std::string& aName,
-                       bool aOwnStoreAddress = false) {
+  RunningNode& AddNode(const std::string& aName, bool aOwnStoreAddress = false,
+                       double aCpuShare = 1.0) {
     const auto store = aOwnStoreAddress ? m_store.Listen() : m_storeAddress;
-    m_nodes.push_back(std::make_unique<RunningNode>(aName, store));
+    m_nodes.push_back(std::make_unique<RunningNode>(aName, store, aCpuShare));
     return *m_nodes.back();
   }
 
@@ -190,18 +198,23 @@
     call.m_target = aPath;
     call.m_headers = {{"Host", "h.example"}, {"X-Deadline-Ms", "3000"}};
     call.m_body = aBody;
+    return Send(aNode.Address(), call);
+  }
+
+  /** @return the reply; status 0 if there is none. */
+  HttpReply Send(const boost::asio::ip::tcp::endpoint& aAddress,
+                 const HttpCall& aCall) {
     auto reply = std::make_shared<std::promise<HttpReply>>();
-    boost::asio::post(
-        m_platformThreads.Context(0), [this, call, reply, &aNode] {
-          m_client.Call(aNode.Address(), call, seconds(5),
-                        [reply](CallOutcome aOutcome) {
-                          HttpReply result = std::move(aOutcome.m_reply);
-                          if (aOutcome.m_stage != CallStage::CompleteReply) {
-                            result.m_status = 0;
-                          }
-                          reply->set_value(std::move(result));
-                        });
-        });
+    boost::asio::post(m_platformThreads.Context(0), [this, aCall, reply,
+                                                     aAddress] {
+      m_client.Call(aAddress, aCall, seconds(5), [reply](CallOutcome aOutcome) {
+        HttpReply result = std::move(aOutcome.m_reply);
+        if (aOutcome.m_stage != CallStage::CompleteReply) {
+          result.m_status = 0;
+        }
+        reply->set_value(std::move(result));
+      });
+    });
     return reply->get_future().get();
   }
 
