--- a/src/core/sched/handover_func.cpp
+++ b/src/core/sched/handover_func.cpp
@@ -15,7 +15,7 @@
 /** Reads of the directory take place each 0.45 s, so that these take 1.4 s at
  *  least: a store that refuses the VM at times shows within them. */
 constexpr uint32_t kMinGoodReads = 4;
-constexpr Duration kAskPause = seconds(2);
+constexpr Duration kAskPause = seconds(1);
 /** After a request without an answer: an owner of an earlier build cannot
  *  read it, and one that is behind is not helped by more of them. */
 constexpr Duration kUnansweredPause = seconds(10);
