--- a/src/core/sched/claim_func.cpp
+++ b/src/core/sched/claim_func.cpp
@@ -17,7 +17,7 @@
  *  the VM's name and the cell. */
 constexpr uint64_t kClaimSpreadMs = 400;
 /** Most that a VM adds in proportion to the CPU that it lacks. */
-constexpr Duration kMaxLackingDelay = milliseconds(500);
+constexpr Duration kMaxSmallVmDelay = milliseconds(500);
 /** Delay that each cell of this VM adds. */
 constexpr Duration kOwnedCellDelay = milliseconds(350);
 /** CPU of the last owner that is assumed if none is known. */
@@ -54,7 +54,7 @@
 Duration LackingDelay(Millicores aOwn, Millicores aWanted) {
   const double lacking = std::clamp(1.0 - RatioOf(aOwn, aWanted), 0.0, 1.0);
   return Duration(static_cast<int64_t>(
-      lacking * static_cast<double>(kMaxLackingDelay.count())));
+      lacking * static_cast<double>(kMaxSmallVmDelay.count())));
 }
 
 }  // namespace
