election: a claim counts as deferred only once the cell is known to be idle

At the first start, VMs that read the owner row before the first heartbeat logged a deferral although the owner had just claimed the cell.

--- a/src/scheduler/owner_election.cpp
+++ b/src/scheduler/owner_election.cpp
@@ -226,7 +226,7 @@
           ? m_directory.Of(m_cell).m_changedAt + kOwnerTimeout
           : m_seen->m_since + kOwnerTimeout;
   const sched::ClaimDelay delay = ClaimDelayAfter(row);
-  NoteDeferral(row, delay);
+  if (idleSince <= aNow) NoteDeferral(row, delay);
   const Duration left = idleSince + delay.m_delay - aNow;
   if (left <= Duration::zero()) {
     Claim();
