sched: a VM that lost a cell may ask for it after 10 s

The store refuses single VMs for some 6 s at a time. With a pause of 30 s the only large VM of a deployment would leave its cell on a small one for most of a minute. Result: sched_cell_test passes.

--- a/src/core/sched/handover_func.cpp
+++ b/src/core/sched/handover_func.cpp
@@ -19,9 +19,10 @@
 /** After a request without an answer: an owner of an earlier build cannot
  *  read it, and one that is behind is not helped by more of them. */
 constexpr Duration kUnansweredPause = seconds(10);
-/** A VM that lost a cell without releasing it cannot be relied on, although it
+/** A VM that has just lost a cell without releasing it may lose it again,
+ *  although it
  *  may reach the store again. */
-constexpr Duration kLossPause = seconds(30);
+constexpr Duration kLossPause = seconds(10);
 /** An owner renews all leases and reads all runners in its first seconds. */
 constexpr Duration kMinTerm = seconds(2);
 /** Least time between two handovers of one cell. */
