sched: cells that a VM has or asks for count when a larger VM is preferred

Requests under way now count as cells, and a lack must remain if CPU and link are shared out among the cells.

--- a/src/core/sched/claim_func.cpp
+++ b/src/core/sched/claim_func.cpp
@@ -40,6 +40,17 @@
          static_cast<double>(aOther.Value());
 }
 
+/** Whether a lack of this resource, if there is one, remains when it is shared
+ *  out among the cells of both VMs. */
+template <class Amount>
+bool KeepsLack(Amount aAmount, size_t aCells, Amount aOther,
+               size_t aOtherCells) {
+  const double ratio = RatioOf(aAmount, aOther);
+  if (ratio >= kMuchSmallerRatio) return true;
+  return ratio * static_cast<double>(aOtherCells + 1) <
+         kMuchSmallerRatio * static_cast<double>(aCells + 1);
+}
+
 bool IsNoSmaller(const VmCapability& aVm, const VmCapability& aOther) {
   return CapabilityRatio(aVm, aOther) >= 1.0;
 }
@@ -69,6 +80,16 @@
          IsNoSmaller(aOther, aVm);
 }
 
+bool ShouldPrefer(const KnownVm& aOther, const KnownVm& aVm) {
+  const VmCapability& vm = aVm.m_capability;
+  const VmCapability& other = aOther.m_capability;
+  return IsMuchSmaller(vm, other) &&
+         KeepsLack(vm.m_cpu, aVm.m_otherCells, other.m_cpu,
+                   aOther.m_otherCells) &&
+         KeepsLack(vm.m_link, aVm.m_otherCells, other.m_link,
+                   aOther.m_otherCells);
+}
+
 VmCapability LargerOf(const VmCapability& aLeft, const VmCapability& aRight) {
   return aRight.m_cpu > aLeft.m_cpu ? aRight : aLeft;
 }
@@ -83,13 +104,19 @@
     decided.m_reason = ClaimReason::OtherSuccessor;
     decided.m_delay += kSuccessorTime;
   }
-  const bool isKnown = aView.m_largest.m_cpu.Value() > 0;
+  const bool isKnown = aView.m_lastOwner.m_cpu.Value() > 0;
   decided.m_delay += SpreadOf(aView.m_vm, aView.m_cell);
-  decided.m_delay += LackingDelay(
-      aView.m_own.m_cpu, isKnown ? aView.m_largest.m_cpu : kDefaultOwnerCpu);
-  decided.m_delay += kOwnedCellDelay * static_cast<int64_t>(aView.m_ownedCells);
-  // The assumed CPU shows no larger VM.
-  if (isKnown && IsMuchSmaller(aView.m_own, aView.m_largest)) {
+  decided.m_delay +=
+      LackingDelay(aView.m_own.m_capability.m_cpu,
+                   isKnown ? aView.m_lastOwner.m_cpu : kDefaultOwnerCpu);
+  decided.m_delay +=
+      kOwnedCellDelay * static_cast<int64_t>(aView.m_own.m_otherCells);
+  const bool isLargerKnown =
+      std::any_of(aView.m_known.begin(), aView.m_known.end(),
+                  [&aView](const KnownVm& aKnown) {
+                    return ShouldPrefer(aKnown, aView.m_own);
+                  });
+  if (isLargerKnown) {
     decided.m_delay += kSmallerVmDelay;
     if (decided.m_reason == ClaimReason::Spread) {
       decided.m_reason = ClaimReason::SmallerVm;
--- a/src/core/sched/claim_func.h
+++ b/src/core/sched/claim_func.h
@@ -22,6 +22,13 @@
 [[nodiscard]] bool IsMuchSmaller(const VmCapability& aVm,
                                  const VmCapability& aOther);
 
+/**
+ * Whether the cell should be on aOther instead of aVm, although they also have
+ * other cells: aVm is much smaller, and what makes it so remains if the
+ * capability of both is shared out among their cells and this one.
+ */
+[[nodiscard]] bool ShouldPrefer(const KnownVm& aOther, const KnownVm& aVm);
+
 /** @return the one with more CPU. */
 [[nodiscard]] VmCapability LargerOf(const VmCapability& aLeft,
                                     const VmCapability& aRight);
--- a/src/core/sched/claim_type.h
+++ b/src/core/sched/claim_type.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "core/base/id_type.h"
 #include "core/base/resources_type.h"
@@ -26,15 +27,22 @@
   friend bool operator==(const VmCapability&, const VmCapability&) = default;
 };
 
+/** A VM and the cells that it owns beside the one that is decided on. */
+struct KnownVm {
+  VmCapability m_capability;
+  size_t m_otherCells = 0;
+};
+
 /** A VM that considers the claim of a cell without a live owner. */
 struct ClaimView {
   VmId m_vm;
   CellId m_cell;
-  VmCapability m_own;
-  /** Largest VM that is known from the owner row and from heartbeats. */
-  VmCapability m_largest;
-  size_t m_ownedCells = 0;  ///< Cells that this VM owns or claims.
-  VmId m_successor;         ///< That the former owner has named; may be empty.
+  KnownVm m_own;  ///< Its other cells are those that it owns or claims.
+  VmCapability m_lastOwner;
+  /** The last owner, one that has asked it for the cell, and owners of other
+   *  cells. */
+  std::vector<KnownVm> m_known;
+  VmId m_successor;  ///< That the former owner has named; may be empty.
 };
 
 /** What made a VM wait with its claim for longer than the usual spread. */
@@ -52,10 +60,8 @@
 
 /** A VM that considers to ask the owner of a cell for it. */
 struct AskView {
-  VmCapability m_own;
-  size_t m_ownedCells = 0;   ///< Cells that this VM owns or claims.
-  VmCapability m_owner;      ///< Of the cell.
-  size_t m_ownersCells = 1;  ///< Cells that the owner has.
+  KnownVm m_own;  ///< Its other cells include those that it asks for.
+  KnownVm m_owner;
   /** Quick reads of the store in a row, up to the last one. */
   uint32_t m_goodReads = 0;
   std::optional<TimePoint> m_lostAt;  ///< When it lost this cell unwillingly.
--- a/src/core/sched/handover_func.cpp
+++ b/src/core/sched/handover_func.cpp
@@ -4,8 +4,6 @@
 
 #include "core/sched/handover_func.h"
 
-#include <algorithm>
-
 #include "core/sched/claim_func.h"
 
 namespace bronze::sched {
@@ -19,31 +17,18 @@
 /** After a request without an answer: an owner of an earlier build cannot
  *  read it, and one that is behind is not helped by more of them. */
 constexpr Duration kUnansweredPause = seconds(10);
-/** A VM that has just lost a cell without releasing it may lose it again,
- *  although it
- *  may reach the store again. */
+/** A VM that has just lost a cell without releasing it may lose it again, even
+ *  if it reaches the store by now. */
 constexpr Duration kLossPause = seconds(10);
 /** An owner renews all leases and reads all runners in its first seconds. */
 constexpr Duration kMinTerm = seconds(2);
 /** Least time between two handovers of one cell. */
 constexpr Duration kMinTermAfterHandover = seconds(10);
 
-VmCapability PerCell(const VmCapability& aVm, size_t aCells) {
-  const auto cells = static_cast<int64_t>(aCells);
-  return {Millicores(aVm.m_cpu.Value() / cells),
-          KilobitsPerSecond(aVm.m_link.Value() / cells)};
-}
-
 }  // namespace
 
 bool ShouldAsk(const AskView& aView, TimePoint aNow) {
-  if (!IsMuchSmaller(aView.m_owner, aView.m_own)) return false;
-  // The gain must remain if this VM has other cells.
-  const size_t ownersCells = std::max<size_t>(aView.m_ownersCells, 1);
-  if (!IsMuchSmaller(PerCell(aView.m_owner, ownersCells),
-                     PerCell(aView.m_own, aView.m_ownedCells + 1))) {
-    return false;
-  }
+  if (!ShouldPrefer(aView.m_own, aView.m_owner)) return false;
   if (aView.m_goodReads < kMinGoodReads || aNow < aView.m_notBefore) {
     return false;
   }
--- a/src/scheduler/cell_directory.cpp
+++ b/src/scheduler/cell_directory.cpp
@@ -59,25 +59,35 @@
 Duration CellDirectory::Interval() const {
   if (m_ownsCell) return kReadInterval;
   const auto own = static_cast<double>(m_capability.m_cpu.Value());
-  const auto largest = static_cast<double>(LargestOwner().m_cpu.Value());
-  return own < largest * kSlowShare ? kSlowReadInterval : kReadInterval;
-}
-
-sched::VmCapability CellDirectory::LargestOwner() const {
   sched::VmCapability largest;
   for (const CellView& view : m_views) {
     if (view.m_heartbeat && !view.m_heartbeat->m_vm.empty()) {
       largest = sched::LargerOf(largest, view.m_heartbeat->m_capability);
     }
   }
-  return largest;
+  return own < static_cast<double>(largest.m_cpu.Value()) * kSlowShare
+             ? kSlowReadInterval
+             : kReadInterval;
+}
+
+size_t CellDirectory::OtherCellsOf(const std::string& aVm, CellId aCell) const {
+  size_t cells = 0;
+  for (size_t at = 0; at < m_views.size(); ++at) {
+    const auto& heartbeat = m_views[at].m_heartbeat;
+    if (at != aCell.Value() && heartbeat && heartbeat->m_vm == aVm) ++cells;
+  }
+  return cells;
 }
 
-size_t CellDirectory::CellsOf(const std::string& aVm) const {
-  return static_cast<size_t>(std::count_if(
-      m_views.begin(), m_views.end(), [&aVm](const CellView& aView) {
-        return aView.m_heartbeat && aView.m_heartbeat->m_vm == aVm;
-      }));
+std::vector<sched::KnownVm> CellDirectory::OtherOwners(CellId aCell) const {
+  std::vector<sched::KnownVm> owners;
+  for (size_t at = 0; at < m_views.size(); ++at) {
+    const auto& heartbeat = m_views[at].m_heartbeat;
+    if (at == aCell.Value() || !heartbeat || heartbeat->m_vm.empty()) continue;
+    owners.push_back(
+        {heartbeat->m_capability, OtherCellsOf(heartbeat->m_vm, aCell)});
+  }
+  return owners;
 }
 
 bool CellDirectory::IsHandedOver(CellId aCell) const {
--- a/src/scheduler/cell_directory.h
+++ b/src/scheduler/cell_directory.h
@@ -59,11 +59,11 @@
   /** @return the quick reads in a row, up to the last one. */
   [[nodiscard]] uint32_t GoodReads() const { return m_goodReads; }
 
-  /** @return the cells whose last heartbeat names the VM. */
-  [[nodiscard]] size_t CellsOf(const std::string& aVm) const;
+  /** @return the number of other cells whose last heartbeat names the VM. */
+  [[nodiscard]] size_t OtherCellsOf(const std::string& aVm, CellId aCell) const;
 
-  /** @return the capability of the largest VM that owns a cell. */
-  [[nodiscard]] sched::VmCapability LargestOwner() const;
+  /** @return the owners of the other cells, some several times. */
+  [[nodiscard]] std::vector<sched::KnownVm> OtherOwners(CellId aCell) const;
 
   /** @return the published loads, by cell; zero for one without a live owner.
    */
--- a/src/scheduler/owner_election.cpp
+++ b/src/scheduler/owner_election.cpp
@@ -115,11 +115,12 @@
   sched::ClaimView view;
   view.m_vm = m_identity.m_vm;
   view.m_cell = m_cell;
-  view.m_own = m_identity.m_capability;
-  view.m_largest =
-      sched::LargerOf(sched::LargerOf(aLast.m_capability, aLast.m_largestAsker),
-                      m_directory.LargestOwner());
-  view.m_ownedCells = m_identity.m_claimedCells();
+  view.m_own = {m_identity.m_capability, m_identity.m_claimedCells()};
+  view.m_lastOwner = aLast.m_capability;
+  view.m_known = m_directory.OtherOwners(m_cell);
+  view.m_known.push_back(
+      {aLast.m_capability, m_directory.OtherCellsOf(aLast.m_vm, m_cell)});
+  view.m_known.push_back({aLast.m_largestAsker, 0});
   // A successor that has claimed the cell clears the name.
   view.m_successor = VmId(aLast.m_successor);
   return sched::DecideClaimDelay(view);
@@ -161,10 +162,9 @@
 void OwnerElection::ConsiderAsking(TimePoint aNow) {
   const HeartbeatRow& owner = *m_directory.Of(m_cell).m_heartbeat;
   sched::AskView view;
-  view.m_own = m_identity.m_capability;
-  view.m_ownedCells = m_identity.m_claimedCells();
-  view.m_owner = owner.m_capability;
-  view.m_ownersCells = m_directory.CellsOf(owner.m_vm);
+  view.m_own = {m_identity.m_capability, m_identity.m_claimedCells()};
+  view.m_owner = {owner.m_capability,
+                  m_directory.OtherCellsOf(owner.m_vm, m_cell)};
   view.m_goodReads = m_directory.GoodReads();
   view.m_lostAt = m_lostAt;
   view.m_notBefore = m_askNotBefore;
@@ -194,6 +194,7 @@
                                   : isAnswered     ? "declined"
                                                    : "unanswered";
   ++m_links.m_counts.m_requests[std::string(result)];
+  if (!aAnswer.m_error) m_successorUntil = BootNow() + kMaxHandoverTime;
   m_log.Write("[cell]", "request for cell={} {} reason={}", m_cell.Value(),
               result, aAnswer.m_error ? aAnswer.m_error->m_message : "");
   // The next read of the directory would show it, too.
@@ -201,6 +202,10 @@
   if (!aAnswer.m_error && mayClaim) ReadOwnerRow();
 }
 
+bool OwnerElection::IsClaimed() const {
+  return m_owner || m_claiming || m_asking || BootNow() < m_successorUntil;
+}
+
 bool OwnerElection::IsHandedOver() const {
   const bool takesOver = m_isSuccessor && IsClaimed() && !LocalOwner();
   return takesOver || (m_handedOverAt != TimePoint() &&
--- a/src/scheduler/owner_election.h
+++ b/src/scheduler/owner_election.h
@@ -54,8 +54,9 @@
   /** @return the owner if this daemon schedules the cell, or null. */
   [[nodiscard]] std::shared_ptr<CellOwner> LocalOwner() const;
 
-  /** @return whether this daemon has claimed the cell or is claiming it. */
-  [[nodiscard]] bool IsClaimed() const { return m_owner || m_claiming; }
+  /** @return whether this daemon has claimed the cell, is claiming it, or has
+   *          asked its owner for it. */
+  [[nodiscard]] bool IsClaimed() const;
 
   /** @return whether a handover to a named successor is under way that this VM
    *          takes part in, so that the cell has an owner soon. */
@@ -115,6 +116,7 @@
   bool m_isSuccessor = false;    ///< m_owner or the claim was named.
   bool m_asking = false;         ///< A request has no answer yet.
   TimePoint m_askNotBefore;
+  TimePoint m_successorUntil;  ///< The owner names this VM until then.
   /** When this VM lost the cell without releasing it. */
   std::optional<TimePoint> m_lostAt;
   TimePoint m_handedOverAt;  ///< When this VM handed the cell to a successor.
--- a/tests/core/sched/claim_test.cpp
+++ b/tests/core/sched/claim_test.cpp
@@ -21,8 +21,9 @@
                const VmCapability& aLargest) {
   ClaimView view;
   view.m_vm = VmId(fmt::format("vm-{}", aVm));
-  view.m_own = aOwn;
-  view.m_largest = aLargest;
+  view.m_own.m_capability = aOwn;
+  view.m_lastOwner = aLargest;
+  view.m_known = {{aLargest, 0}};
   return view;
 }
 
@@ -73,20 +74,32 @@
 BOOST_AUTO_TEST_CASE(VmWithCellsWaitsForOthers) {
   ClaimView view = View(1, kLarge, kLarge);
   const Duration without = DecideClaimDelay(view).m_delay;
-  view.m_ownedCells = 2;
+  view.m_own.m_otherCells = 2;
   BOOST_TEST((DecideClaimDelay(view).m_delay - without).count() == 700'000);
 }
 
+/** Guards against one large VM that gets all cells while small VMs, which have
+ *  more for each of them, wait for it. */
+BOOST_AUTO_TEST_CASE(LargeVmWithManyCellsIsNotWaitedFor) {
+  ClaimView view = View(1, kSmall, {});
+  view.m_known = {{kLarge, 1}};
+  BOOST_TEST(NameOf(DecideClaimDelay(view).m_reason) == "smaller_vm");
+  view.m_known = {{kLarge, 2}};
+  BOOST_TEST(NameOf(DecideClaimDelay(view).m_reason) == "spread");
+  view.m_own.m_otherCells = 1;
+  BOOST_TEST(NameOf(DecideClaimDelay(view).m_reason) == "smaller_vm");
+}
+
 /** Guards against a handover whose successor competes with the other VMs, and
  *  against a cell that nobody claims after its successor has ended. */
 BOOST_AUTO_TEST_CASE(SuccessorClaimsAtOnceAndOthersLater) {
   ClaimView view = View(1, kLarge, kLarge);
-  view.m_ownedCells = 2;
+  view.m_own.m_otherCells = 2;
   view.m_successor = view.m_vm;
   BOOST_TEST(DecideClaimDelay(view).m_delay.count() == 0);
   BOOST_TEST(NameOf(DecideClaimDelay(view).m_reason) == "successor");
   view.m_successor = VmId("vm-2");
-  view.m_ownedCells = 0;
+  view.m_own.m_otherCells = 0;
   const ClaimDelay other = DecideClaimDelay(view);
   BOOST_TEST(other.m_delay.count() >= 1'000'000);
   BOOST_TEST(other.m_delay.count() < 1'400'000);
--- a/tests/core/sched/handover_test.cpp
+++ b/tests/core/sched/handover_test.cpp
@@ -17,8 +17,8 @@
 
 AskView Asker() {
   AskView view;
-  view.m_own = kLarge;
-  view.m_owner = kSmall;
+  view.m_own.m_capability = kLarge;
+  view.m_owner.m_capability = kSmall;
   view.m_goodReads = 4;
   return view;
 }
@@ -46,15 +46,15 @@
 BOOST_AUTO_TEST_CASE(OnlyAMuchLargerVmAsks) {
   AskView view = Asker();
   BOOST_TEST(ShouldAsk(view, kNow));
-  view.m_owner = kLarge;
+  view.m_owner.m_capability = kLarge;
   BOOST_TEST(!ShouldAsk(view, kNow));
-  view.m_owner = {Millicores(320), {}};
+  view.m_owner.m_capability = {Millicores(320), {}};
   BOOST_TEST(!ShouldAsk(view, kNow));
   view.m_owner = {};  // Of an earlier build.
   BOOST_TEST(!ShouldAsk(view, kNow));
   view = Asker();
-  view.m_own = kSmall;
-  view.m_owner = kLarge;
+  view.m_own.m_capability = kSmall;
+  view.m_owner.m_capability = kLarge;
   BOOST_TEST(!ShouldAsk(view, kNow));
 }
 
@@ -65,16 +65,16 @@
   BOOST_TEST(!ShouldAsk(view, kNow));
 }
 
-/** Guards against cells that are gathered on one VM until it is as loaded as
- *  the owner was. */
+/** Guards against cells that are gathered on one VM until it has as little for
+ *  each as the owner had, by what was scarce there: a VM of 0.5 of a core asked
+ *  owners of 0.12 for five cells. */
 BOOST_AUTO_TEST_CASE(CellsOfTheAskerReduceTheGain) {
   AskView view = Asker();
-  view.m_owner.m_link = {};
-  view.m_ownedCells = 1;
+  view.m_own.m_otherCells = 1;
   BOOST_TEST(ShouldAsk(view, kNow));
-  view.m_ownedCells = 3;
+  view.m_own.m_otherCells = 2;
   BOOST_TEST(!ShouldAsk(view, kNow));
-  view.m_ownersCells = 2;
+  view.m_owner.m_otherCells = 1;
   BOOST_TEST(ShouldAsk(view, kNow));
 }
 
