election: a VM asks for one cell at a time

Heartbeats show only after half a second that a cell has moved. A VM that asked for all cells of one owner at once would have taken them all.

--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -82,12 +82,16 @@
 void EntryNode::BeginCells(sched::CellLayout aLayout) {
   m_layout = aLayout;
   const NodeIdentity identity{
-      m_config.m_vm, m_incarnation, AddressText(m_config.m_peerAddress),
-      CapabilityOf(m_config), [this] {
+      m_config.m_vm,
+      m_incarnation,
+      AddressText(m_config.m_peerAddress),
+      CapabilityOf(m_config),
+      [this] {
         return static_cast<size_t>(std::count_if(
             m_elections.begin(), m_elections.end(),
             [](const auto& aElection) { return aElection->IsClaimed(); }));
-      }};
+      },
+      std::make_shared<AskState>()};
   const OwnerLinks links{m_store, m_runners, m_advisor,
                          [this](PeerCall aCall, AnswerHandler aHandler) {
                            CallOwner(std::move(aCall), std::move(aHandler));
--- a/src/scheduler/owner_election.cpp
+++ b/src/scheduler/owner_election.cpp
@@ -167,8 +167,9 @@
                   m_directory.OtherCellsOf(owner.m_vm, m_cell)};
   view.m_goodReads = m_directory.GoodReads();
   view.m_lostAt = m_lostAt;
-  view.m_notBefore = m_askNotBefore;
-  if (m_asking || !sched::ShouldAsk(view, aNow)) return;
+  AskState& state = *m_identity.m_askState;
+  view.m_notBefore = state.m_notBefore;
+  if (state.m_isPending || !sched::ShouldAsk(view, aNow)) return;
   m_log.Write("[cell]", "asking for cell={} owner={} cpu={} own_cpu={}",
               m_cell.Value(), owner.m_vm, owner.m_capability.m_cpu.Value(),
               m_identity.m_capability.m_cpu.Value());
@@ -179,6 +180,7 @@
   call.m_handover = {m_identity.m_vm, Incarnation(m_identity.m_incarnation),
                      m_identity.m_capability};
   m_asking = true;
+  state.m_isPending = true;
   m_links.m_callPeer(std::move(call),
                      [self = shared_from_this()](const PeerAnswer& aAnswer) {
                        self->OnHandoverAnswer(aAnswer);
@@ -189,7 +191,7 @@
   m_asking = false;
   const bool isAnswered =
       !aAnswer.m_error || aAnswer.m_error->m_kind != ErrorKind::OutcomeUnknown;
-  m_askNotBefore = sched::NextAskTime(isAnswered, BootNow());
+  *m_identity.m_askState = {false, sched::NextAskTime(isAnswered, BootNow())};
   const std::string_view result = !aAnswer.m_error ? "accepted"
                                   : isAnswered     ? "declined"
                                                    : "unanswered";
--- a/src/scheduler/owner_election.h
+++ b/src/scheduler/owner_election.h
@@ -25,6 +25,13 @@
 
 namespace bronze {
 
+/** A VM asks for one cell at a time: the heartbeats, from which it knows how
+ *  many cells each VM has, do not show its other requests. */
+struct AskState {
+  bool m_isPending = false;  ///< A request has no answer yet.
+  TimePoint m_notBefore;
+};
+
 /** What this process writes into the owner row, and when it claims a cell. */
 struct NodeIdentity {
   VmId m_vm;
@@ -33,6 +40,7 @@
   sched::VmCapability m_capability;
   /** @return the number of cells that this process owns or claims. */
   std::function<size_t()> m_claimedCells;
+  std::shared_ptr<AskState> m_askState;  ///< Of all cells.
 };
 
 class OwnerElection : public std::enable_shared_from_this<OwnerElection> {
@@ -115,8 +123,7 @@
   bool m_claimDeferred = false;  ///< NoteDeferral was called in this vacancy.
   bool m_isSuccessor = false;    ///< m_owner or the claim was named.
   bool m_asking = false;         ///< A request has no answer yet.
-  TimePoint m_askNotBefore;
-  TimePoint m_successorUntil;  ///< The owner names this VM until then.
+  TimePoint m_successorUntil;    ///< The owner names this VM until then.
   /** When this VM lost the cell without releasing it. */
   std::optional<TimePoint> m_lostAt;
   TimePoint m_handedOverAt;  ///< When this VM handed the cell to a successor.
--- a/tests/scheduler/owner_handover_test.cpp
+++ b/tests/scheduler/owner_handover_test.cpp
@@ -234,6 +234,32 @@
   CheckEachTaskRanOnce();
 }
 
+/** Guards against a large VM that asks for all cells of a small one, and is
+ * then the one that has less for each. */
+BOOST_AUTO_TEST_CASE(LargeVmLeavesACellToTheSmallOne) {
+  SetCells(4);
+  RunningNode& small = AddNode("small", false, kSmall);
+  BOOST_REQUIRE(SubmitUntilAccepted(small, kJob));
+  const auto cellsOf = [this](const std::string& aVm) {
+    int cells = 0;
+    for (int at = 0; at < 4; ++at) {
+      const auto row = DecodeOwnerRow(
+          m_store.Value("cell", fmt::format("c{}", at), "owner"));
+      if (row && row.value().m_vm == aVm) ++cells;
+    }
+    return cells;
+  };
+  BOOST_REQUIRE(Eventually([&] { return cellsOf("small") == 4; }));
+  AddNode("large", false, 4.0 * kSmall);
+  BOOST_REQUIRE(Eventually([&] { return cellsOf("large") == 3; }));
+  // Longer than the pause between two requests.
+  std::this_thread::sleep_for(seconds(3));
+  BOOST_TEST(cellsOf("large") == 3);
+  BOOST_TEST(cellsOf("small") == 1);
+  BOOST_TEST(BecomesCompleted(small, kJob));
+  CheckEachTaskRanOnce();
+}
+
 /** Guards against cells that move between VMs of the same size. */
 BOOST_AUTO_TEST_CASE(CellStaysAmongEqualVms) {
   RunningNode& first = AddNode("first", false, kSmall);
