--- a/tests/scheduler/owner_handover_test.cpp
+++ b/tests/scheduler/owner_handover_test.cpp
@@ -200,6 +200,30 @@
   CheckEachTaskRanOnce();
 }
 
+/** Guards against a process that does not end, or ends without a release, as it
+ *  is told to end while it hands its cell over. */
+BOOST_AUTO_TEST_CASE(ProcessMayEndDuringAHandover) {
+  RunningNode& small = AddNode("small", false, kSmall);
+  BOOST_REQUIRE(SubmitUntilAccepted(small, kJob));
+  RunningNode& other = AddNode("other", false, kSmall);
+  BOOST_REQUIRE(SubmitUntilAccepted(other, "00000000000000a2"));
+  // Its term must last for 2 s first.
+  std::this_thread::sleep_for(milliseconds(2300));
+  RowStoreFaults faults;
+  faults.m_commitDelay = milliseconds(300);
+  m_store.SetFaults(faults);
+  auto answer =
+      std::async(std::launch::async, [&] { return AskFor(small, "ghost"); });
+  std::this_thread::sleep_for(milliseconds(100));
+  small.Stop();
+  BOOST_TEST(!answer.get().m_error.has_value());
+  m_store.SetFaults({});
+  BOOST_REQUIRE(BecomesOwner("other"));
+  BOOST_TEST(BecomesCompleted(other, kJob));
+  BOOST_TEST(BecomesCompleted(other, "00000000000000a2"));
+  CheckEachTaskRanOnce();
+}
+
 /** Guards against a second owner, or a lost one, if the answers to the release
  *  and to the claim are lost, and against orders of the former owner that take
  *  effect. */
