--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -120,7 +120,7 @@
   /** Stops without another commit, and fails the calls that still wait. */
   void Abandon();
 
-  /** @return the VM that the cell was handed over to; empty: it was not. */
+  /** @return the VM that the stored release names; empty: none. */
   [[nodiscard]] const std::string& HandedTo() const { return m_handedTo; }
 
   [[nodiscard]] const sched::Cell& State() const { return m_cell; }
@@ -222,8 +222,8 @@
   [[nodiscard]] sched::VmCapability RecentAsker(TimePoint aNow) const;
   /** Continues as owner if the release does not get to the store in time. */
   void CheckHandover(TimePoint aNow);
-  /** @return whether the release was taken back. */
-  bool WithdrawHandover(std::string_view aReason);
+  /** Takes the release back if nothing of it has been sent. */
+  void WithdrawHandover(std::string_view aReason);
   /** The cell is released or lost. */
   void EndHandover(std::string_view aResult);
 
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -228,6 +228,7 @@
   AnswerWaiters();
   if (m_ownerRow.m_vm.empty()) {
     auto done = std::move(m_onReleased);
+    m_handedTo = m_ownerRow.m_successor;
     Abandon();
     SendLastHeartbeat(kLastHeartbeatTries, std::move(done));
     return;
--- a/src/scheduler/cell_owner_handover.cpp
+++ b/src/scheduler/cell_owner_handover.cpp
@@ -80,7 +80,6 @@
   Release([weak = weak_from_this()] {
     const auto self = weak.lock();
     if (!self || !self->m_handover) return;
-    self->m_handedTo = self->m_handover->m_to;
     self->EndHandover("done");
     self->m_onLost();
   });
@@ -91,14 +90,13 @@
   WithdrawHandover("the changes before the release were not stored in time");
 }
 
-bool CellOwner::WithdrawHandover(std::string_view aReason) {
-  if (!m_handover || !m_handover->m_mayWithdraw || m_releaseSent) return false;
+void CellOwner::WithdrawHandover(std::string_view aReason) {
+  if (!m_handover || !m_handover->m_mayWithdraw || m_releaseSent) return;
   m_log.Write("[cell]", "handover withdrawn cell={} to={} by={}",
               m_cellId.Value(), m_handover->m_to, aReason);
   m_onReleased = nullptr;
   EndHandover("withdrawn");
   RequestPass();
-  return true;
 }
 
 void CellOwner::EndHandover(std::string_view aResult) {
--- a/src/scheduler/owner_election.cpp
+++ b/src/scheduler/owner_election.cpp
@@ -4,8 +4,6 @@
 
 #include "scheduler/owner_election.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 #include "scheduler/boot_clock.h"
@@ -210,8 +208,10 @@
 
 bool OwnerElection::IsHandedOver() const {
   const bool takesOver = m_isSuccessor && IsClaimed() && !LocalOwner();
-  return takesOver || (m_handedOverAt != TimePoint() &&
-                       BootNow() - m_handedOverAt < kMaxHandoverTime);
+  const bool isReleased = m_owner && !m_owner->HandedTo().empty();
+  return takesOver || isReleased ||
+         (m_handedOverAt != TimePoint() &&
+          BootNow() - m_handedOverAt < kMaxHandoverTime);
 }
 
 void OwnerElection::ConsiderClaim(TimePoint aNow) {
