--- a/tests/scheduler/owner_handover_test.cpp
+++ b/tests/scheduler/owner_handover_test.cpp
@@ -7,6 +7,7 @@
 
 #include "codec/peer_call_cbor.h"
 #include "node_fixture.h"
+#include "platform/runner_client.h"
 #include "scheduler/boot_clock.h"
 
 namespace bronze {
@@ -242,6 +243,55 @@
   CheckEachTaskRanOnce();
 }
 
+/** Guards against orders and commits of the former term that take effect after
+ *  the handover. */
+BOOST_AUTO_TEST_CASE(LateOrdersOfTheFormerTermAreRefused) {
+  RunningNode& small = AddNode("small", false, kSmall);
+  BOOST_REQUIRE(SubmitUntilAccepted(small, kJob));
+  boost::asio::io_context context;
+  StoreClient store(context, m_storeAddress, BootNow);
+  RowVersion formerVersion;
+  store.Read("cell", "c0", "", seconds(5), [&](const RowsResult& aResult) {
+    for (const StoreRow& row : aResult.m_rows) formerVersion = row.m_version;
+  });
+  context.run();
+  BOOST_REQUIRE(formerVersion.Value() > 0U);
+  RunningNode& large = AddNode("large", false, kLarge);
+  BOOST_REQUIRE(BecomesOwner("large"));
+  BOOST_REQUIRE(SubmitUntilAccepted(large, "00000000000000a2"));
+  BOOST_REQUIRE(BecomesCompleted(large, "00000000000000a2"));
+
+  context.restart();
+  StoreTransaction commit;
+  const RowKey ownerKey{"cell", "c0", "owner"};
+  commit.m_expected.push_back({ownerKey, formerVersion});
+  commit.m_puts.push_back({ownerKey, EncodeOwnerRow({}), {}});
+  StoreOutcome committed = StoreOutcome::Unknown;
+  store.Transact(commit, seconds(5), [&](const TransactionResult& aResult) {
+    committed = aResult.m_outcome;
+  });
+  context.run();
+  BOOST_TEST((committed == StoreOutcome::Conflict));
+
+  context.restart();
+  RunnerClient runners(context);
+  sched::OrderOutcome started = sched::OrderOutcome::Unknown;
+  sched::StartOrder order;
+  order.m_task.m_job = JobId(0xa3);
+  order.m_run = sched::RunNumber(1);
+  runners.Start({AddressText(m_runnerAddresses[0]), RunnerId("r1"),
+                 FencingToken(formerVersion.Value())},
+                order, "{}", sched::RunnerMillis(INT64_MAX), {},
+                [&](const OrderAnswer& aAnswer) {
+                  started = aAnswer.m_outcome;
+                  context.stop();
+                });
+  context.run();
+  BOOST_TEST((started == sched::OrderOutcome::RefusedFence));
+  BOOST_TEST(Row().m_vm == "large");
+  CheckEachTaskRanOnce();
+}
+
 /** Guards against a new process of a large VM that does not get the cell back
  *  from the small VM that has claimed it meanwhile. */
 BOOST_AUTO_TEST_CASE(RestartedLargeVmGetsTheCellBack) {
