--- a/src/scheduler/node_policy.cpp
+++ b/src/scheduler/node_policy.cpp
@@ -30,6 +30,9 @@
 constexpr double kRunnersPerCore = 600.0;
 constexpr double kMinRunnersPerCell = 12.0;
 
+constexpr double kMillicoresPerCore = 1000.0;
+constexpr double kKilobitsPerMegabit = 1000.0;
+
 /** VMs create the layout row within this time, in the order of a hash. */
 constexpr uint64_t kLayoutSpreadMs = 300;
 /** Most that a VM with little CPU waits longer: cells should suit the largest
@@ -78,8 +81,9 @@
 }
 
 sched::VmCapability CapabilityOf(const NodeConfig& aConfig) {
-  return {Millicores(std::llround(aConfig.m_cpuShare * 1000.0)),
-          sched::KilobitsPerSecond(std::llround(aConfig.m_linkMbps * 1000.0))};
+  return {Millicores(std::llround(aConfig.m_cpuShare * kMillicoresPerCore)),
+          sched::KilobitsPerSecond(
+              std::llround(aConfig.m_linkMbps * kKilobitsPerMegabit))};
 }
 
 WatchTiming ConfigWatchTiming(const NodeConfig& aConfig) {
