net: bounds on what incoming connections hold

Cause: the buffer of a connection had no largest size, the parser's limits count neither trailers nor chunk heads, and nothing bounded the sum over all connections, nor their number within the descriptors of the process.

Change: a connection reads into a buffer of bounded size and checks the message after each read, with the same reads as before. A table that all servers of a process share counts connections by role and what they hold, and applies core/overload: beyond the total, the largest unfinished calls and unread replies are closed; beyond the room of a role, the oldest connections of the address that has most. Complete calls beyond the total are refused with 503 before they run. Ready and metrics connections have room of their own. After a failed accept the server waits 100 ms instead of trying again at once.

--- a/src/core/error/error_type.h
+++ b/src/core/error/error_type.h
@@ -25,6 +25,7 @@
   BodyTooLarge,
   SlowSender,
   TooManyConnections,
+  Overloaded,
   Unauthorized,
   // Requests.
   UnknownKind,
--- a/src/core/error/table/error_answer.h
+++ b/src/core/error/table/error_answer.h
@@ -23,6 +23,7 @@
     {ErrorKind::BodyTooLarge, "body_too_large", 413, 2, RunState::NotRun, false},
     {ErrorKind::SlowSender, "slow_sender", 408, 4, RunState::NotRun, true},
     {ErrorKind::TooManyConnections, "too_many_connections", 503, 4, RunState::NotRun, true},
+    {ErrorKind::Overloaded, "overloaded", 503, 4, RunState::NotRun, true},
     {ErrorKind::Unauthorized, "unauthorized", 401, 3, RunState::NotRun, false},
     {ErrorKind::UnknownKind, "unknown_kind", 404, 2, RunState::NotRun, false},
     {ErrorKind::BadWindow, "bad_window", 400, 2, RunState::NotRun, false},
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -12,6 +12,7 @@
 
 #include "core/error/error_type.h"
 #include "core/metrics/counter_type.h"
+#include "net/connection_table.h"
 #include "net/http_type.h"
 #include "net/thread_pool.h"
 
@@ -33,16 +34,31 @@
    * before the reply.
    */
   virtual void OnClientDisconnect(std::function<void()> aNotify) = 0;
+  /**
+   * Notes that the handler holds this many bytes until the reply. To be called
+   * within the handler, if the call holds much more than its body.
+   * @return false if the memory for it is missing: the call has to be refused.
+   */
+  [[nodiscard]] virtual bool Reserve(size_t /*aBytes*/) { return true; }
 };
 
 using HttpHandler = std::function<void(
     size_t aThread, HttpCall aCall, std::shared_ptr<HttpResponder> aResponder)>;
 
+/** Where the connections of a server are counted. */
+struct HttpServerPlace {
+  /** Shared by the servers of a process; null: HttpLimits alone apply. */
+  std::shared_ptr<ConnectionTable> m_table;
+  ConnectionRole m_role = ConnectionRole::Caller;
+};
+
+struct HttpServerState;
+
 class HttpServer {
  public:
   /** The handler runs on the traffic thread of the connection. */
   HttpServer(ThreadPool& aThreads, HttpLimits aLimits, Counters& aCounters,
-             HttpHandler aHandler);
+             HttpHandler aHandler, HttpServerPlace aPlace = {});
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -63,8 +79,7 @@
   [[nodiscard]] size_t OpenConnections() const;
 
  private:
-  struct Shared;
-  std::shared_ptr<Shared> m_shared;
+  std::shared_ptr<HttpServerState> m_shared;
 };
 
 }  // namespace bronze
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -54,6 +54,7 @@
 struct HttpLimits {
   size_t m_headerBytes = size_t{16} * 1024;
   size_t m_bodyBytes = size_t{1} << 20;
+  size_t m_headerFields = 256;
   size_t m_connections = 4096;            ///< Open at the same time.
   Duration m_readTimeout = seconds(10);   ///< To read one call.
   Duration m_idleTimeout = seconds(120);  ///< Between two calls.
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -85,6 +85,26 @@
 constexpr int64_t kDefaultRowBytes = 65536;
 /** Holds a state row without tasks, and a block of several tasks. */
 constexpr int64_t kMinRowBytes = 8192;
+/** The process does not start with less. */
+constexpr int64_t kMinMemoryMb = 32;
+constexpr int64_t kMinDescriptors = 64;
+
+ProcessLimits ReadLimits(Reader& aReader) {
+  ProcessLimits limits;
+  const auto read = [&aReader](const std::string& aName, int64_t aDefault,
+                               int64_t aMin) {
+    const auto value = aReader.Get<int64_t>({"limits", aName}, aDefault, false);
+    if (value >= aMin) return value;
+    aReader.Problem(
+        fmt::format("limits.{} is {}; the minimum is {}", aName, value, aMin));
+    return aDefault;
+  };
+  limits.m_memory =
+      Mebibytes(read("memory_mb", limits.m_memory.Value(), kMinMemoryMb));
+  limits.m_descriptors = static_cast<size_t>(read(
+      "max_fds", static_cast<int64_t>(limits.m_descriptors), kMinDescriptors));
+  return limits;
+}
 
 NodeConfig Read(Reader& aReader) {
   NodeConfig config;
@@ -108,6 +128,7 @@
     }
   }
   config.m_cpuShare = aReader.Get({"limits", "cpu_share"}, 1.0, false);
+  config.m_limits = ReadLimits(aReader);
   config.m_linkMbps =
       aReader.Get({"limits", "link_mbps"}, kDefaultLinkMbps, false);
   config.m_configApply =
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -12,6 +12,7 @@
 #include "core/base/id_type.h"
 #include "core/base/time_type.h"
 #include "core/error/error_type.h"
+#include "core/overload/traffic_type.h"
 
 namespace bronze {
 
@@ -25,6 +26,7 @@
   /** Advice service; not set if the deployment has none. */
   std::optional<boost::asio::ip::tcp::endpoint> m_adviceAddress;
   double m_cpuShare = 1.0;     ///< CPU limit of this process, in cores.
+  ProcessLimits m_limits;      ///< Memory and descriptors of this process.
   double m_linkMbps = 1000.0;  ///< Bandwidth of the VM's link.
   Duration m_configApply{};    ///< A configuration is in force within this.
   /** A runner that says that it leaves gets no task later than this. */
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -4,7 +4,9 @@
 
 #include <docopt/docopt.h>
 #include <fmt/format.h>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <charconv>
 #include <chrono>
@@ -12,6 +14,7 @@
 #include <cstdlib>
 
 #include "core/error/error_func.h"
+#include "core/overload/traffic_func.h"
 #include "net/address_func.h"
 #include "net/log_func.h"
 #include "scheduler/entry_node.h"
@@ -59,9 +62,14 @@
           .count());
 }
 
-bronze::HttpLimits Limits() {
-  bronze::HttpLimits limits;
-  limits.m_connections = 3000;
+/** @return the limits of the settings, or of the kernel if these are lower. */
+bronze::ProcessLimits LimitsOf(const bronze::NodeConfig& aConfig) {
+  bronze::ProcessLimits limits = aConfig.m_limits;
+  rlimit kernel{};
+  if (getrlimit(RLIMIT_NOFILE, &kernel) == 0) {
+    limits.m_descriptors = static_cast<size_t>(
+        std::min<rlim_t>(limits.m_descriptors, kernel.rlim_cur));
+  }
   return limits;
 }
 
@@ -72,21 +80,27 @@
   bronze::EntryNode node(
       threads.Context(0), aConfig, NewIncarnation(),
       [aPath] { return bronze::ReadSettingsText(aPath); }, aOptions);
+  const auto table = std::make_shared<bronze::ConnectionTable>(
+      bronze::TrafficLimitsOf(LimitsOf(aConfig)), counters);
   bronze::HttpServer callers(
-      threads, Limits(), counters,
+      threads, {}, counters,
       [&node](size_t, bronze::HttpCall aCall, auto aResponder) {
         node.HandleCaller(std::move(aCall), std::move(aResponder));
-      });
+      },
+      {table, bronze::ConnectionRole::Caller});
   bronze::HttpServer peers(
-      threads, Limits(), counters,
+      threads, {}, counters,
       [&node](size_t, bronze::HttpCall aCall, auto aResponder) {
         node.HandlePeer(std::move(aCall), std::move(aResponder));
-      });
+      },
+      {table, bronze::ConnectionRole::Peer});
   const auto health = [&node](size_t, bronze::HttpCall aCall, auto aResponder) {
     node.HandleHealth(aCall, aResponder);
   };
-  bronze::HttpServer ready(threads, Limits(), counters, health);
-  bronze::HttpServer metrics(threads, Limits(), counters, health);
+  bronze::HttpServer ready(threads, {}, counters, health,
+                           {table, bronze::ConnectionRole::Ready});
+  bronze::HttpServer metrics(threads, {}, counters, health,
+                             {table, bronze::ConnectionRole::Metrics});
   const boost::asio::ip::tcp::endpoint metricsAddress(
       aConfig.m_callerAddress.address(), kMetricsPort);
   for (const auto& [server, address] :
--- a/tests/core/overload/traffic_test.cpp
+++ b/tests/core/overload/traffic_test.cpp
@@ -19,6 +19,7 @@
 
 std::vector<uint64_t> Values(const std::vector<ConnectionId>& aIds) {
   std::vector<uint64_t> values;
+  values.reserve(aIds.size());
   for (const ConnectionId id : aIds) values.push_back(id.Value());
   return values;
 }
