net, sched: bounds on replies, decoded calls, metrics of refusals

Cause: a reply that the process reads as a client had the same faults as a call: trailers, chunk heads and aligned head lines without bound, and no bound on the sum of all replies. A job's description takes some twenty times the memory of its text while the call waits for the control loop.

Change: the client reads like the server, and all clients of a scheduler share a budget: beyond it, a reply that holds more than an equal share is given up. A handler reserves the memory of what it has decoded, or refuses the call with 503 before it runs; a job of over 16,384 steps, which no row of the store holds, is refused at once. The scheduler serves counters for each reason and logs them once a second at most if they change.

--- a/src/core/sched/stored_size_func.cpp
+++ b/src/core/sched/stored_size_func.cpp
@@ -130,6 +130,17 @@
   return bytes;
 }
 
+size_t MemoryBytes(const JobSpec& aSpec) {
+  size_t bytes = sizeof(JobSpec) + aSpec.m_payload.capacity() +
+                 aSpec.m_steps.capacity() * sizeof(StepSpec);
+  for (const StepSpec& step : aSpec.m_steps) {
+    bytes += step.m_after.capacity() * sizeof(uint32_t) +
+             step.m_requiredLabel.capacity() + step.m_affinityRack.capacity() +
+             step.m_image.capacity();
+  }
+  return bytes;
+}
+
 uint32_t TasksPerBlock(size_t aRowBytes) {
   const size_t room = aRowBytes > kRowFrame ? aRowBytes - kRowFrame : 0;
   return static_cast<uint32_t>(std::max<size_t>(1, room / kMaxStoredTaskBytes));
--- a/src/core/sched/stored_size_func.h
+++ b/src/core/sched/stored_size_func.h
@@ -33,6 +33,9 @@
 [[nodiscard]] size_t StoredBytesBound(const JobSpec& aSpec);
 [[nodiscard]] size_t StoredBytesBound(const StoredInterference& aInterference);
 
+/** @return the memory that a job's description takes in the process. */
+[[nodiscard]] size_t MemoryBytes(const JobSpec& aSpec);
+
 /** @return the number of tasks whose block fits into a row of aRowBytes. */
 [[nodiscard]] uint32_t TasksPerBlock(size_t aRowBytes);
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 
 #include "core/error/error_func.h"
+#include "core/overload/traffic_func.h"
 #include "daemon/caller_front.h"
 #include "daemon/operator_front.h"
 #include "files/node_settings.h"
@@ -77,16 +78,20 @@
                               threads, counters);
   bronze::CallerFront callers(control, counters);
   bronze::OperatorFront operators(control, counters, aNode.m_operatorToken);
+  const auto table = std::make_shared<bronze::ConnectionTable>(
+      bronze::TrafficLimitsOf({}), counters);
   bronze::HttpServer callerServer(
       threads, {}, counters,
       [&callers](size_t aThread, bronze::HttpCall aCall, auto aResponder) {
         callers.Handle(aThread, std::move(aCall), std::move(aResponder));
-      });
+      },
+      {table, bronze::ConnectionRole::Caller});
   bronze::HttpServer operatorServer(
       threads, {}, counters,
       [&operators](size_t, bronze::HttpCall aCall, auto aResponder) {
         operators.Handle(std::move(aCall), std::move(aResponder));
-      });
+      },
+      {table, bronze::ConnectionRole::Peer});
   const auto peerAddress = control.ListenForPeers(peers.value());
   if (!peerAddress) return Fail(peerAddress.error());
   const auto callerAddress = Listen(callerServer, aNode.m_callerAddress);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,18 +4,11 @@
 
 #include "net/http_client.h"
 
-#include <algorithm>
-#include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <charconv>
-#include <deque>
-#include <map>
-#include <optional>
 
-#include "core/message/reply_match_func.h"
+#include "net/http_client_internal.h"
+#include "net/message_read_internal.h"
 
 namespace bronze {
 
@@ -26,127 +19,6 @@
 
 namespace {
 
-struct Connection {
-  explicit Connection(asio::io_context& aContext) : m_stream(aContext) {}
-  beast::tcp_stream m_stream;
-  ConnectionNumber m_number;
-  ReplyHistory m_history;
-};
-
-/** @return the time of the clock that does not jump. */
-TimePoint SteadyNow() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
-/** Limit of connections that carry a call to an address whose last call timed
- *  out: one for a call that waits at the server, and one for another. */
-constexpr size_t kSuspectConnections = 2;
-
-/** Longest time from a call to the end of its reply. */
-constexpr Duration kMaxReplyTime = seconds(12);
-
-/** A call that waits for its turn. */
-class WaitingCall {
- public:
-  virtual ~WaitingCall() = default;
-  virtual void Begin() = 0;
-};
-
-}  // namespace
-
-struct HttpClient::Pool {
-  /** Connections to one address. */
-  struct Address {
-    /** Open connections without a call in progress. */
-    std::vector<std::unique_ptr<Connection>> m_idle;
-    size_t m_busy = 0;       ///< Calls that have begun and have not ended.
-    bool m_suspect = false;  ///< The last call timed out.
-    std::deque<std::shared_ptr<WaitingCall>> m_urgent;
-    std::deque<std::shared_ptr<WaitingCall>> m_waiting;
-  };
-
-  Pool(asio::io_context& aContext, HttpClientLimits aLimits, ReplyClock aClock)
-      : m_context(aContext), m_limits(aLimits), m_clock(aClock) {}
-
-  [[nodiscard]] bool MayBegin(const Address& aAddress) const {
-    const size_t limit =
-        aAddress.m_suspect
-            ? std::min(m_limits.m_busyPerAddress, kSuspectConnections)
-            : m_limits.m_busyPerAddress;
-    return aAddress.m_busy < limit;
-  }
-
-  /** A call has ended: begins those that waited for it. */
-  void EndCall(const tcp::endpoint& aAddress) {
-    Address& address = m_addresses[aAddress];
-    --address.m_busy;
-    while (MayBegin(address)) {
-      auto& queue =
-          address.m_urgent.empty() ? address.m_waiting : address.m_urgent;
-      if (queue.empty()) break;
-      const std::shared_ptr<WaitingCall> next = std::move(queue.front());
-      queue.pop_front();
-      next->Begin();
-    }
-    // Runners come and go under new addresses.
-    if (address.m_busy == 0 && address.m_idle.empty()) {
-      m_addresses.erase(aAddress);
-    }
-  }
-
-  asio::io_context& m_context;
-  HttpClientLimits m_limits;
-  ReplyClock m_clock;  ///< Null: calls are numbered.
-  CallNumber m_lastCall;
-  // Read by the thread that serves metrics.
-  std::atomic<uint64_t> m_connections = 0;  ///< Opened so far.
-  std::atomic<uint64_t> m_mismatched = 0;   ///< Replies that were dropped.
-  std::map<tcp::endpoint, Address> m_addresses;
-};
-
-namespace {
-
-/** Whether the head holds the begin of another one: an answer that was cut,
- *  followed by a whole one, can be parsed as one reply. */
-template <class Message>
-bool HoldsAnotherHead(const Message& aMessage) {
-  constexpr std::string_view kBegin = "HTTP/1.";
-  const auto holds = [&](beast::string_view aText) {
-    return aText.find({kBegin.data(), kBegin.size()}) !=
-           beast::string_view::npos;
-  };
-  return holds(aMessage.reason()) ||
-         std::any_of(aMessage.begin(), aMessage.end(),
-                     [&](const auto& aField) { return holds(aField.value()); });
-}
-
-std::optional<CallNumber> ReadCallNumber(std::string_view aText) {
-  uint64_t number = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [at, error] = std::from_chars(aText.data(), end, number);
-  if (error != std::errc() || at != end) return {};
-  return CallNumber(number);
-}
-
-/** @return would_block if the server has neither sent bytes nor closed the
- *          connection; no error if it has sent some. */
-beast::error_code PeekError(tcp::socket& aSocket) {
-  beast::error_code error;
-  aSocket.non_blocking(true, error);
-  char byte = 0;
-  aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error;
-}
-
-/**
- * Whether the server has closed an idle connection or has sent unexpected bytes
- * on it.
- */
-bool IsStale(tcp::socket& aSocket) {
-  return PeekError(aSocket) != asio::error::would_block;
-}
-
 template <class PoolState>
 class Exchange : public HttpExchange,
                  public WaitingCall,
@@ -159,7 +31,9 @@
         m_address(aAddress),
         m_timeout(aTimeout),
         m_handler(std::move(aHandler)),
-        m_options(std::move(aOptions)) {
+        m_options(std::move(aOptions)),
+        m_buffer(BufferBytes(Limits())),
+        m_share(m_pool->m_limits.m_budget) {
     m_request.method_string(aCall.m_method);
     m_request.target(aCall.m_target);
     m_request.version(11);
@@ -306,28 +180,65 @@
 
   void Read() {
     m_parser.emplace();
-    m_parser->body_limit(m_pool->m_limits.m_maxAnswerBytes);
-    ReadMore();
+    m_replyBytes = 0;
+    SetLimits(*m_parser, Limits());
+    if (m_buffer.size() == 0) {
+      ReadMore();
+      return;
+    }
+    asio::post(m_pool->m_context,
+               [self = this->shared_from_this()] { self->Parse(); });
+  }
+
+  [[nodiscard]] MessageLimits Limits() const {
+    return {kMaxReplyHeaderBytes, kMaxReplyHeaderFields,
+            m_pool->m_limits.m_maxAnswerBytes};
   }
 
   /** A large reply may take long on a narrow link, so the timeout starts again
    *  with each part that arrives. */
   void ReadMore() {
-    http::async_read_some(
-        Stream(), m_buffer, *m_parser,
-        [self = this->shared_from_this()](beast::error_code aError, size_t) {
-          const auto now = std::chrono::steady_clock::now();
-          if (aError || self->m_parser->is_done() ||
-              now - self->m_madeAt > kMaxReplyTime) {
-            self->OnRead(aError ? aError
-                         : self->m_parser->is_done()
-                             ? beast::error_code()
-                             : beast::error_code(beast::error::timeout));
-            return;
-          }
-          self->Stream().expires_after(self->m_timeout);
-          self->ReadMore();
-        });
+    Stream().async_read_some(m_buffer.prepare(NextReadBytes(m_buffer)),
+                             [self = this->shared_from_this()](
+                                 beast::error_code aError, size_t aCount) {
+                               self->OnBytes(aError, aCount);
+                             });
+  }
+
+  void OnBytes(beast::error_code aError, size_t aCount) {
+    m_buffer.commit(aCount);
+    if (aError == asio::error::eof) {
+      beast::error_code error = http::error::end_of_stream;
+      if (m_parser->got_some()) m_parser->put_eof(error);
+      OnRead(error);
+    } else if (aError) {
+      OnRead(aError);
+    } else {
+      Parse();
+    }
+  }
+
+  void Parse() {
+    beast::error_code error =
+        ParseSome(*m_parser, m_buffer, Limits(), m_replyBytes);
+    const bool isDone = m_parser->is_done();
+    const bool hasRoom = isDone || m_share.Set(HeldBytes(*m_parser, m_buffer));
+    if (!hasRoom) error = http::error::buffer_overflow;
+    if (error == http::error::buffer_overflow ||
+        error == http::error::header_limit ||
+        error == http::error::body_limit) {
+      m_share.CountRefused();
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (!error && !isDone && now - m_madeAt > kMaxReplyTime) {
+      error = beast::error::timeout;
+    }
+    if (error || isDone) {
+      OnRead(error);
+      return;
+    }
+    if (m_parser->is_header_done()) Stream().expires_after(m_timeout);
+    ReadMore();
   }
 
   void OnRead(beast::error_code aError) {
@@ -462,6 +373,7 @@
   }
 
   void Finish() {
+    m_share.Set(0);
     auto handler = std::move(m_handler);
     m_handler = nullptr;
     handler(std::move(m_outcome));
@@ -481,33 +393,14 @@
   std::unique_ptr<Connection> m_connection;
   beast::flat_buffer m_buffer;
   std::optional<http::response_parser<http::string_body>> m_parser;
+  size_t m_replyBytes = 0;  ///< Of the reply, as parsed so far.
+  ReplyShare m_share;
   CallNumber m_number;  ///< 0: not numbered.
   CallOutcome m_outcome;
 };
 
-bool EqualsNoCase(std::string_view aLeft, std::string_view aRight) {
-  return beast::iequals({aLeft.data(), aLeft.size()},
-                        {aRight.data(), aRight.size()});
-}
-
-std::string FindHeader(const HttpHeaders& aHeaders, std::string_view aName) {
-  const auto found = std::find_if(aHeaders.begin(), aHeaders.end(),
-                                  [aName](const auto& aHeader) {
-                                    return EqualsNoCase(aHeader.first, aName);
-                                  });
-  return found == aHeaders.end() ? std::string() : found->second;
-}
-
 }  // namespace
 
-std::string HttpCall::Header(std::string_view aName) const {
-  return FindHeader(m_headers, aName);
-}
-
-std::string HttpReply::Header(std::string_view aName) const {
-  return FindHeader(m_headers, aName);
-}
-
 HttpClient::HttpClient(asio::io_context& aContext, HttpClientLimits aLimits,
                        ReplyClock aClock)
     : m_pool(std::make_shared<Pool>(aContext, aLimits, aClock)) {}
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -23,6 +23,7 @@
 #include "core/error/error_type.h"
 #include "core/message/reply_match_type.h"
 #include "net/http_type.h"
+#include "net/reply_budget.h"
 
 namespace bronze {
 
@@ -56,6 +57,8 @@
   size_t m_maxAnswerBytes = 0;
   /** Connections to one address that carry a call; calls beyond it wait. */
   size_t m_busyPerAddress = SIZE_MAX;
+  /** Bound on the replies of all clients together; null: none. */
+  std::shared_ptr<ReplyBudget> m_budget = nullptr;
 };
 
 /** How a call is treated beside others to the same address. */
--- a/src/platform/advice_client.cpp
+++ b/src/platform/advice_client.cpp
@@ -25,10 +25,11 @@
 
 AdviceClient::AdviceClient(
     boost::asio::io_context& aContext,
-    std::optional<boost::asio::ip::tcp::endpoint> aAddress)
+    std::optional<boost::asio::ip::tcp::endpoint> aAddress,
+    std::shared_ptr<ReplyBudget> aBudget)
     : m_address(std::move(aAddress)),
       // Nothing in an answer names its call, so a connection carries one.
-      m_client(aContext, {0, kMaxAnswerBytes}) {}
+      m_client(aContext, {0, kMaxAnswerBytes, SIZE_MAX, std::move(aBudget)}) {}
 
 void AdviceClient::Ask(const sched::AdviceOrder& aOrder,
                        const std::vector<RunnerId>& aRunners,
--- a/src/platform/advice_client.h
+++ b/src/platform/advice_client.h
@@ -21,7 +21,8 @@
   /** @param aAddress if not set, the deployment has no advice service and each
    *         call fails. */
   AdviceClient(boost::asio::io_context& aContext,
-               std::optional<boost::asio::ip::tcp::endpoint> aAddress);
+               std::optional<boost::asio::ip::tcp::endpoint> aAddress,
+               std::shared_ptr<ReplyBudget> aBudget = nullptr);
 
   /** Asks which of aRunners may run the step of aOrder. */
   void Ask(const sched::AdviceOrder& aOrder,
--- a/src/platform/runner_client.cpp
+++ b/src/platform/runner_client.cpp
@@ -115,9 +115,11 @@
 
 }  // namespace
 
-RunnerClient::RunnerClient(boost::asio::io_context& aContext)
+RunnerClient::RunnerClient(boost::asio::io_context& aContext,
+                           std::shared_ptr<ReplyBudget> aBudget)
     : m_client(aContext,
-               {kConnectionsPerRunner, kMaxAnswerBytes, kConnectionsPerRunner},
+               {kConnectionsPerRunner, kMaxAnswerBytes, kConnectionsPerRunner,
+                std::move(aBudget)},
                ReadRunnerClock) {}
 
 void RunnerClient::Post(const RunnerTarget& aTarget, std::string aPath,
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -162,9 +162,13 @@
 
 StoreClient::StoreClient(boost::asio::io_context& aContext,
                          boost::asio::ip::tcp::endpoint aAddress,
-                         std::function<TimePoint()> aClock)
+                         std::function<TimePoint()> aClock,
+                         std::shared_ptr<ReplyBudget> aBudget)
     : m_address(std::move(aAddress)),
-      m_client(aContext, {kIdleConnections, kMaxAnswerBytes}, ReadStoreClock),
+      m_client(
+          aContext,
+          {kIdleConnections, kMaxAnswerBytes, SIZE_MAX, std::move(aBudget)},
+          ReadStoreClock),
       m_clock(std::move(aClock)) {}
 
 std::optional<StoreMillis> StoreClient::StoreTimeUpperBound(
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -80,7 +80,8 @@
   /** @param aClock clock of this VM; must include the time it was suspended. */
   StoreClient(boost::asio::io_context& aContext,
               boost::asio::ip::tcp::endpoint aAddress,
-              std::function<TimePoint()> aClock);
+              std::function<TimePoint()> aClock,
+              std::shared_ptr<ReplyBudget> aBudget = nullptr);
 
   void Transact(const StoreTransaction& aTransaction, Duration aTimeout,
                 std::function<void(TransactionResult)> aHandler);
--- a/src/platform/wire_decode.cpp
+++ b/src/platform/wire_decode.cpp
@@ -28,6 +28,9 @@
 constexpr int64_t kMaxCount = 1'000'000;
 constexpr int64_t kMaxAmount = int64_t{1} << 40;
 constexpr size_t kMaxPayloadBytes = 4000;
+/** A job with more steps is larger than a row of the store. A step takes some
+ *  20 times the memory of its text. */
+constexpr size_t kMaxSteps = 16384;
 
 Resources ReadResources(JsonReader& aReader) {
   return {Millicores(aReader.Integer("cpu", 0, 0, kMaxAmount)),
@@ -87,7 +90,9 @@
   spec.m_intervalMs = reader.Integer("interval_ms", 0, 0, kMaxExact);
   reader.Require("steps");
   if (const json::array* steps = reader.List("steps")) {
+    if (steps->size() > kMaxSteps) reader.Fail("too many steps");
     for (const json::value& value : *steps) {
+      if (reader.Failed()) break;
       auto step = ReadStep(value);
       if (!step) return step.error();
       spec.m_steps.push_back(std::move(step.value()));
--- a/src/scheduler/entry_calls.cpp
+++ b/src/scheduler/entry_calls.cpp
@@ -8,6 +8,7 @@
 #include "core/error/error_func.h"
 #include "core/metrics/histogram_func.h"
 #include "core/sched/cell_layout_func.h"
+#include "core/sched/stored_size_func.h"
 #include "net/address_func.h"
 #include "scheduler/boot_clock.h"
 #include "scheduler/entry_node.h"
@@ -39,6 +40,8 @@
  *  seconds; most callers that retry after this time reach the new owner. */
 constexpr Duration kRetryAfter = seconds(1);
 constexpr char kPeerPath[] = "/peer/call";
+/** What a call with a shorter body holds is part of its connection's room. */
+constexpr size_t kReservedBodyBytes = 4096;
 
 std::string_view VerbName(CallerVerb aVerb) {
   switch (aVerb) {
@@ -54,11 +57,37 @@
   return "lookup";
 }
 
+/** @return whether the call may hold the description of its job until it is
+ *          answered. */
+bool ReserveJob(const HttpCall& aCall, const sched::JobSpec& aSpec,
+                HttpResponder& aResponder) {
+  return aCall.m_body.size() < kReservedBodyBytes ||
+         aResponder.Reserve(sched::MemoryBytes(aSpec));
+}
+
+HttpReply ReplyOf(const PeerAnswer& aAnswer) {
+  HttpReply reply;
+  reply.m_contentType = "application/cbor";
+  reply.m_body = EncodePeerAnswer(aAnswer);
+  return reply;
+}
+
+Error NoMemoryError() {
+  return MakeError(ErrorKind::Overloaded,
+                   "the memory for calls in progress is used up");
+}
+
 }  // namespace
 
 void EntryNode::HandleCaller(HttpCall aCall, SharedResponder aResponder) {
   const auto config = Config();
   auto request = DecodeCallerCall(aCall, *config);
+  if (request && !ReserveJob(aCall, request.value().m_spec, *aResponder)) {
+    // Counted without a line for each, as such calls come in crowds.
+    aResponder->Reply(RefusalReply(NoMemoryError(), kRetryAfter));
+    boost::asio::post(m_context, [this] { ++m_answers["refused_overloaded"]; });
+    return;
+  }
   if (!request) {
     aResponder->Reply(RefusalReply(request.error(), kRetryAfter));
     boost::asio::post(
@@ -393,13 +422,16 @@
                      kRetryAfter));
     return;
   }
+  if (!ReserveJob(aCall, call.value().m_spec, *aResponder)) {
+    PeerAnswer answer;
+    answer.m_error = NoMemoryError();
+    aResponder->Reply(ReplyOf(answer));
+    return;
+  }
   boost::asio::post(m_context, [this, call = std::move(call.value()),
                                 responder = std::move(aResponder)]() mutable {
     const auto answerer = [responder](const PeerAnswer& aAnswer) {
-      HttpReply reply;
-      reply.m_contentType = "application/cbor";
-      reply.m_body = EncodePeerAnswer(aAnswer);
-      responder->Reply(std::move(reply));
+      responder->Reply(ReplyOf(aAnswer));
     };
     const uint32_t cell = call.m_cell.Value();
     const auto owner =
--- a/src/scheduler/entry_metrics.cpp
+++ b/src/scheduler/entry_metrics.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "core/metrics/counter_func.h"
 #include "core/metrics/histogram_func.h"
 #include "core/sched/restart_cmd.h"
 #include "scheduler/boot_clock.h"
@@ -13,6 +14,25 @@
 
 namespace {
 
+/** Why the HTTP servers refuse a call or close a connection. */
+struct RefusalName {
+  CounterId m_id;
+  std::string_view m_name;  ///< In metrics and the log.
+};
+
+constexpr RefusalName kRefusalNames[] = {
+    {CounterId::RefusedBadRequest, "bad_request"},
+    {CounterId::RefusedHeaderTooLarge, "header_too_large"},
+    {CounterId::RefusedBodyTooLarge, "body_too_large"},
+    {CounterId::RefusedSlowSender, "slow_sender"},
+    {CounterId::RefusedTooManyConnections, "too_many_connections"},
+    {CounterId::RefusedOverloaded, "overloaded"},
+    {CounterId::ConnectionsClosedForMemory, "closed_for_memory"},
+    {CounterId::ConnectionsClosedForRoom, "closed_for_room"},
+    {CounterId::ConnectionsClosedUnread, "unread_reply"},
+    {CounterId::AcceptsFailed, "accept_failed"},
+};
+
 void AppendCount(std::string& aText, std::string_view aName, uint64_t aCount) {
   aText += fmt::format("bronze_{} {}\n", aName, aCount);
 }
@@ -70,8 +90,31 @@
 
 }  // namespace
 
+void EntryNode::LogRefusals() {
+  std::string refusals;
+  for (const RefusalName& refusal : kRefusalNames) {
+    const uint64_t count = m_counters ? ValueOf(*m_counters, refusal.m_id) : 0;
+    if (count > 0) refusals += fmt::format(" {}={}", refusal.m_name, count);
+  }
+  const uint64_t replies = m_replyBudget->m_refused;
+  if (replies > 0) refusals += fmt::format(" replies_over_limit={}", replies);
+  if (refusals == m_loggedRefusals) return;
+  m_loggedRefusals = refusals;
+  m_log.Write("[callers]", "connections refused or closed, since the start:{}",
+              refusals);
+}
+
 std::string EntryNode::Metrics() {
   std::string text;
+  if (m_counters) {
+    for (const RefusalName& refusal : kRefusalNames) {
+      AppendCount(text,
+                  fmt::format("connection_refusals_total{{reason=\"{}\"}}",
+                              refusal.m_name),
+                  ValueOf(*m_counters, refusal.m_id));
+    }
+  }
+  AppendCount(text, "replies_over_limit_total", m_replyBudget->m_refused);
   for (const auto& [name, count] : m_answers) {
     AppendCount(text,
                 fmt::format("caller_answers_total{{result=\"{}\"}}", name),
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
+#include "core/overload/traffic_func.h"
 #include "net/address_func.h"
 #include "platform/wire_decode.h"
 #include "scheduler/boot_clock.h"
@@ -42,18 +43,21 @@
       m_config(aConfig),
       m_readSettings(std::move(aReadSettings)),
       m_log(STDOUT_FILENO, aConfig.m_vm.Value()),
-      m_store(m_context, aConfig.m_storeAddress, BootNow),
-      m_runners(m_context),
-      m_advisor(m_context, aConfig.m_adviceAddress),
+      m_replyBudget(std::make_shared<ReplyBudget>(
+          TrafficLimitsOf(aConfig.m_limits).m_replyBytes)),
+      m_store(m_context, aConfig.m_storeAddress, BootNow, m_replyBudget),
+      m_runners(m_context, m_replyBudget),
+      m_advisor(m_context, aConfig.m_adviceAddress, m_replyBudget),
       m_peers(m_context, {kIdleConnectionsPerPeer, kMaxPeerAnswerBytes,
-                          kBusyConnectionsPerPeer}),
+                          kBusyConnectionsPerPeer, m_replyBudget}),
       m_directory(m_context, m_store, m_log, aConfig.m_cpuShare,
                   [this] { OnDirectoryRead(); }),
-      m_configStore(aTraffic, aConfig.m_storeAddress, BootNow),
+      m_configStore(aTraffic, aConfig.m_storeAddress, BootNow, m_replyBudget),
       m_drainTimer(m_context),
       m_housekeepingTimer(m_context),
       m_liveConfig(std::make_shared<const sched::LiveConfig>()),
-      m_incarnation(aIncarnation) {
+      m_incarnation(aIncarnation),
+      m_counters(aOptions.m_counters) {
   m_layoutKeeper = std::make_shared<LayoutKeeper>(
       m_context, m_store, m_log,
       LayoutPolicyOf(aConfig, aOptions.m_runnersPerCell),
@@ -178,6 +182,7 @@
 }
 
 void EntryNode::Housekeep() {
+  LogRefusals();
   m_log.Flush();
   Reload(false);
   m_housekeepingTimer.expires_after(kHousekeepingPause);
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -32,6 +32,8 @@
 struct EntryOptions {
   /** Runners that one cell should have; 0: by the VM's link. */
   size_t m_runnersPerCell = 0;
+  /** Of the HTTP servers, for metrics and the log; null: there are none. */
+  const Counters* m_counters = nullptr;
 };
 
 class EntryNode {
@@ -118,6 +120,8 @@
 
   /** Once a second: writes out the log and checks the settings for changes. */
   void Housekeep();
+  /** Logs how many connections and calls were refused, if that has changed. */
+  void LogRefusals();
   /** @param aAsked whether SIGHUP asked for it; if so, an unreadable or
    *  unchanged file is logged as well. */
   void Reload(bool aAsked);
@@ -129,6 +133,7 @@
   std::string m_settingsText;  ///< Settings file as last read.
   boost::asio::io_context m_context;
   EventLog m_log;
+  std::shared_ptr<ReplyBudget> m_replyBudget;
   StoreClient m_store;
   RunnerClient m_runners;
   AdviceClient m_advisor;
@@ -164,6 +169,8 @@
   size_t m_openRequests = 0;  ///< Callers' requests without an answer.
   std::function<void()> m_onLastCalls;
   uint64_t m_incarnation;
+  const Counters* m_counters;      ///< Of the HTTP servers; null: none.
+  std::string m_loggedRefusals;    ///< As last logged.
   LatencyHistogram m_answerTimes;  ///< Time to answer callers' requests.
   std::map<std::string, uint64_t> m_answers;  ///< Count by verb and result.
   std::map<std::string, uint64_t> m_reloads;  ///< Count by result.
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -74,8 +74,9 @@
 }
 
 int Serve(const bronze::NodeConfig& aConfig, const std::string& aPath,
-          const bronze::EntryOptions& aOptions) {
+          bronze::EntryOptions aOptions) {
   bronze::Counters counters;
+  aOptions.m_counters = &counters;
   bronze::ThreadPool threads(kTrafficThreads);
   bronze::EntryNode node(
       threads.Context(0), aConfig, NewIncarnation(),
@@ -167,5 +168,5 @@
   const auto runnersPerCell = RunnersPerCell(args.at("--runners-per-cell"));
   if (!runnersPerCell) return Fail(runnersPerCell.error());
   if (args.at("--check").asBool()) return 0;
-  return Serve(config.value(), path, {runnersPerCell.value()});
+  return Serve(config.value(), path, {runnersPerCell.value(), nullptr});
 }
