--- a/src/platform/runner_client.h
+++ b/src/platform/runner_client.h
@@ -39,8 +39,8 @@
 
 class RunnerClient {
  public:
-  RunnerClient(boost::asio::io_context& aContext,
-               std::shared_ptr<ReplyBudget> aBudget = nullptr);
+  explicit RunnerClient(boost::asio::io_context& aContext,
+                        std::shared_ptr<ReplyBudget> aBudget = nullptr);
 
   /** @param aMayBegin asked right before the order is sent, as it may wait for
    *  a connection; if it returns false, the outcome is NotSent. */
