--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -226,6 +226,7 @@
   applied.m_peerAddress = m_config.m_peerAddress;
   applied.m_storeAddress = m_config.m_storeAddress;
   applied.m_adviceAddress = m_config.m_adviceAddress;
+  applied.m_limits = m_config.m_limits;
   const bool whole = applied == aConfig;
   m_config = applied;
   for (const auto& election : m_elections)
@@ -235,7 +236,7 @@
       "[main]", "settings reload applied max_lease_ms={} spread={} restart={}",
       std::chrono::duration_cast<milliseconds>(m_config.m_maxLease).count(),
       m_config.m_spreadFactor,
-      whole ? "no" : "needed to change the VM name or an address");
+      whole ? "no" : "needed to change a name, address or limit");
 }
 
 void EntryNode::Drain() {
