--- a/tests/fuzz/http_fuzz.cpp
+++ b/tests/fuzz/http_fuzz.cpp
@@ -18,11 +18,14 @@
 
 namespace http = boost::beast::http;
 
-constexpr MessageLimits kLimits{2048, 64, 4096};
-/** A field of one byte takes at most two of these. */
-constexpr size_t kMaxHeldBytes = 2 * (2048 + 4096) + 1024 + 2048 * 128;
+constexpr size_t kHeaderBytes = 2048;
+constexpr size_t kBodyBytes = 4096;
+constexpr MessageLimits kLimits{kHeaderBytes, 64, kBodyBytes};
+/** All limits at once, and each byte of the head a field. */
+constexpr size_t kMaxHeldBytes =
+    2 * (kHeaderBytes + kBodyBytes) + 1024 + kHeaderBytes * 128;
 /** Beyond each of the limits on what is read. */
-constexpr size_t kMaxReadBytes = 8 * (2048 + 4096);
+constexpr size_t kMaxReadBytes = 8 * (kHeaderBytes + kBodyBytes);
 
 /** @return 1 if the message is complete, 0 if it is refused. */
 template <class Parser>
@@ -58,7 +61,7 @@
 int ReadFuzzedHttp(std::string_view aInput) {
   if (aInput.size() < 2) return 0;
   int complete = 0;
-  for (const size_t part : {1, 64, 512, 4096}) {
+  for (const size_t part : {1U, 64U, 512U, 4096U}) {
     complete +=
         ReadInParts<http::request_parser<http::string_body>>(aInput, part);
     complete +=
