--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
+#include "core/overload/traffic_func.h"
 #include "net/address_func.h"
 #include "platform/wire_decode.h"
 #include "scheduler/boot_clock.h"
@@ -42,18 +43,21 @@
       m_config(aConfig),
       m_readSettings(std::move(aReadSettings)),
       m_log(STDOUT_FILENO, aConfig.m_vm.Value()),
-      m_store(m_context, aConfig.m_storeAddress, BootNow),
-      m_runners(m_context),
-      m_advisor(m_context, aConfig.m_adviceAddress),
+      m_replyBudget(std::make_shared<ReplyBudget>(
+          TrafficLimitsOf(aConfig.m_limits).m_replyBytes)),
+      m_store(m_context, aConfig.m_storeAddress, BootNow, m_replyBudget),
+      m_runners(m_context, m_replyBudget),
+      m_advisor(m_context, aConfig.m_adviceAddress, m_replyBudget),
       m_peers(m_context, {kIdleConnectionsPerPeer, kMaxPeerAnswerBytes,
-                          kBusyConnectionsPerPeer}),
+                          kBusyConnectionsPerPeer, m_replyBudget}),
       m_directory(m_context, m_store, m_log, CapabilityOf(aConfig),
                   [this] { OnDirectoryRead(); }),
-      m_configStore(aTraffic, aConfig.m_storeAddress, BootNow),
+      m_configStore(aTraffic, aConfig.m_storeAddress, BootNow, m_replyBudget),
       m_drainTimer(m_context),
       m_housekeepingTimer(m_context),
       m_liveConfig(std::make_shared<const sched::LiveConfig>()),
-      m_incarnation(aIncarnation) {
+      m_incarnation(aIncarnation),
+      m_counters(aOptions.m_counters) {
   m_layoutKeeper = std::make_shared<LayoutKeeper>(
       m_context, m_store, m_log,
       LayoutPolicyOf(aConfig, aOptions.m_runnersPerCell),
@@ -217,6 +221,7 @@
 }
 
 void EntryNode::Housekeep() {
+  LogRefusals();
   m_log.Flush();
   Reload(false);
   m_housekeepingTimer.expires_after(kHousekeepingPause);
@@ -260,6 +265,7 @@
   applied.m_peerAddress = m_config.m_peerAddress;
   applied.m_storeAddress = m_config.m_storeAddress;
   applied.m_adviceAddress = m_config.m_adviceAddress;
+  applied.m_limits = m_config.m_limits;
   const bool whole = applied == aConfig;
   m_config = applied;
   for (const auto& election : m_elections)
@@ -269,7 +275,7 @@
       "[main]", "settings reload applied max_lease_ms={} spread={} restart={}",
       std::chrono::duration_cast<milliseconds>(m_config.m_maxLease).count(),
       m_config.m_spreadFactor,
-      whole ? "no" : "needed to change the VM name or an address");
+      whole ? "no" : "needed to change a name, address or limit");
 }
 
 void EntryNode::Drain() {
