sched: each queued step is examined within a bounded time

Cause: a pass ended after 64 failed searches and the next one began at the front again. A search that failed for a step with anti-affinity or advice was remembered for that step only, one for a gang not at all, and everything is forgotten each 100 ms.

Change: a pass examines the front as before, and then continues where the last one stopped, with limits of its own (QueueRound). The order by urgency still decides: the front comes first in each pass. A pass that reaches the end of the queue within the limits for the front does the same as before. Steps are limited as well as searches, and searches for tasks to stop count, so the cost of a pass has a bound. A search that failed for lack of room is remembered for all steps of its kind, also if its step has anti-affinity; runners that only anti-affinity or a missing approval excludes are counted apart (excluded= in the log). The memory is kept by kind and by step instead of in a list. A gang is only placed when the runners have room for all of its members, which one search tells. A runner that is too small for a task is not searched for tasks to stop.

failed_search_test reads the memory through its new members, with the same conditions.

--- a/bench/sched_bench.cpp
+++ b/bench/sched_bench.cpp
@@ -1,10 +1,13 @@
 /**
  * @file sched_bench.cpp Time of the decisions of a cell's owner: placing one
- * task, and the whole cycle of a task with a long queue behind it.
+ * task, the whole cycle of a task with a long queue behind it, and a pass over
+ * steps that cannot run.
  */
 
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
+#include <chrono>
 #include <string>
 
 #include "core/sched/commit_cmd.h"
@@ -161,6 +164,110 @@
     ->Args({350, 2000})
     ->Args({350, 15000});
 
+/** What keeps the steps of a waiting queue from running. */
+enum class Obstacle : uint8_t {
+  TooLarge,       ///< For any runner.
+  TooLargeApart,  ///< The same, and the steps have anti-affinity.
+  AbsentLabel,    ///< Another one for each step.
+  Urgent,    ///< Each runner is full of tasks that are not stopped for others.
+  NoAdvice,  ///< The advice service does not answer.
+  PartialGang,   ///< Only some of the members find room.
+  AntiAffinity,  ///< Each runner has a task of the step already.
+};
+
+JobSpec UnplaceableSpec(uint64_t aId, Obstacle aObstacle, uint32_t aRunners) {
+  JobSpec spec = SpecOf(aId, 1, 7000);
+  StepSpec& step = spec.m_steps[0];
+  switch (aObstacle) {
+    case Obstacle::TooLarge:
+      step.m_need.m_cores = Millicores(kCores + 1);
+      break;
+    case Obstacle::TooLargeApart:
+      step.m_need.m_cores = Millicores(kCores + 1);
+      step.m_antiAffinity = 1;
+      break;
+    case Obstacle::AbsentLabel:
+      step.m_requiredLabel = "absent-" + std::to_string(aId);
+      break;
+    case Obstacle::Urgent:
+      step.m_need.m_cores = Millicores(kCores);
+      spec.m_policy.m_priority = -1;
+      break;
+    case Obstacle::NoAdvice:
+      spec.m_policy.m_advice =
+          AdvicePolicy{milliseconds(50), milliseconds(1), milliseconds(3000)};
+      break;
+    case Obstacle::PartialGang:
+      step.m_count = aRunners + 1;
+      step.m_gang = true;
+      break;
+    case Obstacle::AntiAffinity:
+      step.m_count = aRunners + 1;
+      step.m_need = {Millicores(), Mebibytes(), Accelerators()};
+      step.m_antiAffinity = 1;
+      break;
+  }
+  return spec;
+}
+
+/** One pass behind steps that cannot run, at the interval at which an owner
+ *  repeats it when nothing happens. The longest pass is reported, too. */
+void PassAtRest(benchmark::State& aState, Obstacle aObstacle) {
+  constexpr Duration kTick = milliseconds(50);
+  const auto runners = static_cast<uint32_t>(aState.range(0));
+  BusyCell busy(runners);
+  const auto waiting = static_cast<uint64_t>(aState.range(1));
+  for (uint64_t id = 0; id < waiting; ++id) {
+    busy.Submit(UnplaceableSpec(2000 + id, aObstacle, runners));
+  }
+  // At rest, no task finds room any more.
+  for (bool placed = true; placed; busy.m_now += kTick) {
+    busy.m_cell.m_window.m_limit = 1e9;
+    busy.m_cell.m_capacityChanged = true;
+    placed = !busy.StartAll().empty() || busy.m_cell.m_window.m_wasFull;
+    busy.m_cell.m_window.m_wasFull = false;
+  }
+  double longest = 0.0;
+  for (auto step : aState) {
+    busy.m_now += kTick;
+    busy.m_cell.m_capacityChanged = true;
+    const auto begin = std::chrono::steady_clock::now();
+    PlaceTasks(busy.m_cell, busy.m_now);
+    const std::chrono::duration<double, std::milli> took =
+        std::chrono::steady_clock::now() - begin;
+    longest = std::max(longest, took.count());
+    busy.m_cell.m_orders.clear();
+  }
+  aState.counters["longest_ms"] = longest;
+}
+
+void PassAtRestArguments(benchmark::internal::Benchmark* aBenchmark) {
+  aBenchmark->ArgsProduct({{48, 350}, {100, 1000, 10000, 20000}})
+      ->Unit(benchmark::kMicrosecond)
+      ->MinTime(0.1);
+}
+BENCHMARK_CAPTURE(PassAtRest, too_large, Obstacle::TooLarge)
+    ->Apply(PassAtRestArguments);
+BENCHMARK_CAPTURE(PassAtRest, too_large_apart, Obstacle::TooLargeApart)
+    ->Apply(PassAtRestArguments);
+BENCHMARK_CAPTURE(PassAtRest, absent_label, Obstacle::AbsentLabel)
+    ->Apply(PassAtRestArguments);
+BENCHMARK_CAPTURE(PassAtRest, urgent, Obstacle::Urgent)
+    ->Apply(PassAtRestArguments);
+BENCHMARK_CAPTURE(PassAtRest, no_advice, Obstacle::NoAdvice)
+    ->Apply(PassAtRestArguments);
+
+/** The same in fewer steps, as each has more tasks than there are runners. */
+void WideStepArguments(benchmark::internal::Benchmark* aBenchmark) {
+  aBenchmark->ArgsProduct({{48}, {100, 400}})
+      ->Unit(benchmark::kMicrosecond)
+      ->MinTime(0.1);
+}
+BENCHMARK_CAPTURE(PassAtRest, partial_gang, Obstacle::PartialGang)
+    ->Apply(WideStepArguments);
+BENCHMARK_CAPTURE(PassAtRest, anti_affinity, Obstacle::AntiAffinity)
+    ->Apply(WideStepArguments);
+
 }  // namespace
 
 }  // namespace bronze::sched
--- a/src/core/sched/advice_cmd.cpp
+++ b/src/core/sched/advice_cmd.cpp
@@ -108,9 +108,7 @@
   if (advice == aCell.m_advice.end()) return;
   advice->second.m_pending = false;
   // More runners may be used now.
-  std::erase_if(aCell.m_failedSearches, [&](const FailedSearch& aFailed) {
-    return aFailed.m_only == aOrder.m_step;
-  });
+  aCell.m_failedSearches.m_byStep.erase(aOrder.m_step);
   for (const RunnerIndex runner : aOrder.m_runners) {
     const RunnerEntry& entry = aCell.m_runners[runner.Value()].m_entry;
     const auto row = std::find_if(
--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -20,6 +20,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/sched/failed_search_type.h"
 #include "core/sched/job_type.h"
 #include "core/sched/order_window_type.h"
 #include "core/sched/runner_type.h"
@@ -67,8 +68,16 @@
   /** Run time of a task outside the rack of its data, as a multiple of its run
    *  time there. */
   double m_spreadFactor = 1.0;
-  /** Failed searches after which a pass over the queue stops. */
+  /** Failed searches, and steps, after which a pass stops to examine the queue
+   *  from its front and continues where the last one stopped. */
   uint32_t m_maxFailedSearches = 64;
+  uint32_t m_maxSteps = 4096;
+  /** The same for the steps behind, in one pass. */
+  uint32_t m_maxLaterSearches = 512;
+  uint32_t m_maxLaterSteps = 1024;
+  /** Failed searches for the steps behind between two full searches, in any
+   *  number of passes. */
+  uint32_t m_maxLaterSearchesOfInterval = 1024;
   uint32_t m_maxOpenJobs = 20000;  ///< Further jobs are refused.
   /** Occurrences of one job that may be open at once, and their tasks; one
    *  occurrence may always be open. Later ones begin when others end. */
@@ -161,6 +170,8 @@
   uint64_t m_staleListings = 0;  ///< Passes with an old list of runners.
   /** Passes with an old list of the operators' requests. */
   uint64_t m_staleRequests = 0;
+  /** Longest round over the queue; see QueueRound. */
+  Duration m_longestQueueRound = Duration::zero();
   /** Starts that an evacuation stopped after they had been decided. */
   uint64_t m_evacuatedStarts = 0;
 };
@@ -206,18 +217,13 @@
   TimePoint m_since;  ///< When it was chosen or restored.
 };
 
-/** A search that found no runner for a kind of task. Until the next full
- * search, only runners whose room has changed since have to be examined. */
-struct FailedSearch {
-  ServiceId m_service;
-  Resources m_need;
-  std::string m_label;  ///< Required label; empty: none.
-  bool m_bestEffort = false;
-  ImageIndex m_image;  ///< Counts for best-effort tasks only.
-  /** Set if anti-affinity or advice excluded runners: it holds for this step
-   *  only. */
-  std::optional<StepKey> m_only;
-  size_t m_seen = 0;  ///< Entries of m_roomChanges that were examined.
+/** Passes that ended before the last step, up to one that reaches it. Each pass
+ *  examines the front of the queue and goes on where the last one stopped, so
+ *  no number of steps that cannot run hides those behind them. */
+struct QueueRound {
+  TimePoint m_began;
+  /** The step to go on with; unset: behind the front. */
+  std::optional<QueueKey> m_next;
 };
 
 struct Cell {
@@ -295,10 +301,14 @@
   /** Set when a pass over the queue may find room. */
   bool m_capacityChanged = true;
   /** Searches that failed since m_fullSearchAt. */
-  std::vector<FailedSearch> m_failedSearches;
+  FailedSearches m_failedSearches;
   /** Runners whose room may have grown since then, in order of time. */
   std::vector<RunnerIndex> m_roomChanges;
-  TimePoint m_fullSearchAt;  ///< When both lists were last cleared.
+  TimePoint m_fullSearchAt;  ///< When both were last cleared.
+  /** Failed searches behind the front of the queue since m_fullSearchAt. */
+  uint32_t m_laterSearches = 0;
+  std::optional<QueueRound> m_round;  ///< Unset: the last pass was complete.
+  TimePoint m_restartsExaminedAt;     ///< When PlaceOverdueRestarts last ran.
   /** Time of the last log line about a waiting task. */
   TimePoint m_waitLoggedAt;
   /** Time of the last log line about long-running tasks without a run. */
--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -170,16 +170,25 @@
 
 }  // namespace
 
+namespace {
+
+bool MeetsLabel(const StepSpec& aStep, const Runner& aRunner) {
+  return aStep.m_requiredLabel.empty() ||
+         HasLabel(aRunner, aStep.m_requiredLabel);
+}
+
+/** Whether anti-affinity or a missing approval excludes the runner. */
+bool IsExcluded(const PlacementQuery& aQuery, RunnerIndex aIndex) {
+  if (aQuery.m_isApproved && !aQuery.m_isApproved(aIndex)) return true;
+  const uint32_t most = aQuery.m_step->m_antiAffinity;
+  return most > 0 && aQuery.m_sameStep(aIndex) >= most;
+}
+
+}  // namespace
+
 bool MeetsConstraints(const PlacementQuery& aQuery, const Runner& aRunner,
                       RunnerIndex aIndex) {
-  const StepSpec& step = *aQuery.m_step;
-  if (!step.m_requiredLabel.empty() &&
-      !HasLabel(aRunner, step.m_requiredLabel)) {
-    return false;
-  }
-  if (aQuery.m_isApproved && !aQuery.m_isApproved(aIndex)) return false;
-  return step.m_antiAffinity == 0 ||
-         aQuery.m_sameStep(aIndex) < step.m_antiAffinity;
+  return MeetsLabel(*aQuery.m_step, aRunner) && !IsExcluded(aQuery, aIndex);
 }
 
 namespace {
@@ -197,7 +206,8 @@
     if (IsOnProbation(aCell.m_settings, runner, aNow)) return &aTally.m_probed;
   }
   if (!HasRoom(runner, step)) return &aTally.m_full;
-  if (!MeetsConstraints(aQuery, runner, aIndex)) return &aTally.m_unfit;
+  if (!MeetsLabel(step, runner)) return &aTally.m_unfit;
+  if (IsExcluded(aQuery, aIndex)) return &aTally.m_excluded;
   if (!step.m_bestEffort) return nullptr;
   if (!HasUnusedCores(aCell.m_settings, runner, step)) return &aTally.m_busy;
   const BestEffortImpact effect = PredictImpact(aCell, runner, step);
@@ -291,6 +301,51 @@
 
 }  // namespace
 
+namespace {
+
+/** @return how many tasks of the step fit into the runner's free capacity; at
+ *          most aWanted. */
+uint32_t PlacesOn(const PlacementQuery& aQuery, const Runner& aRunner,
+                  RunnerIndex aIndex, uint32_t aWanted) {
+  const StepSpec& step = *aQuery.m_step;
+  const Resources taken = TakenBy(step);
+  const Resources free = FreeRoom(aRunner);
+  int64_t places = aWanted;
+  const auto limit = [&places](auto aFree, auto aTaken) {
+    if (aTaken.Value() > 0) {
+      places = std::min<int64_t>(places, aFree.Value() / aTaken.Value());
+    }
+  };
+  limit(free.m_cores, taken.m_cores);
+  limit(free.m_memory, taken.m_memory);
+  limit(free.m_accelerators, taken.m_accelerators);
+  if (step.m_antiAffinity > 0) {
+    places = std::min<int64_t>(places,
+                               step.m_antiAffinity - aQuery.m_sameStep(aIndex));
+  }
+  return static_cast<uint32_t>(places);
+}
+
+}  // namespace
+
+uint32_t CountPlaces(const Cell& aCell, const PlacementQuery& aQuery,
+                     uint32_t aWanted, TimePoint aNow) {
+  PlacementTally tally;
+  uint32_t found = 0;
+  for (uint32_t at = 0; at < aCell.m_runners.size() && found < aWanted; ++at) {
+    const RunnerIndex index(at);
+    double interference = 0.0;
+    if (uint32_t* reason =
+            RejectionReason(aCell, aQuery, index, aNow, tally, interference)) {
+      ++*reason;
+      continue;
+    }
+    found += PlacesOn(aQuery, aCell.m_runners[at], index, aWanted - found);
+  }
+  if (aQuery.m_tally != nullptr) *aQuery.m_tally = tally;
+  return found;
+}
+
 RunnerIndex ChooseRunner(const Cell& aCell, const PlacementQuery& aQuery,
                          TimePoint aNow) {
   Candidate best;
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -62,7 +62,10 @@
   uint32_t m_busy = 0;  ///< Too few unused cores for a best-effort task.
   /** A latency-critical task would get too close to its target. */
   uint32_t m_overTarget = 0;
-  uint32_t m_unfit = 0;  ///< Label, anti-affinity or approval does not match.
+  uint32_t m_unfit = 0;  ///< The label does not match.
+  /** Anti-affinity or a missing approval excludes it for this step, although it
+   *  has room. */
+  uint32_t m_excluded = 0;
 };
 
 /** What the runners of a pool have left, for the log line about a task that
@@ -123,6 +126,13 @@
                                         const PlacementQuery& aQuery,
                                         TimePoint aNow);
 
+/** @return how many tasks of the step the runners have room for, but no more
+ *          than aWanted. For best-effort tasks it is an upper bound, as their
+ *          effect on others grows with each one. */
+[[nodiscard]] uint32_t CountPlaces(const Cell& aCell,
+                                   const PlacementQuery& aQuery,
+                                   uint32_t aWanted, TimePoint aNow);
+
 /** @return the best runner; invalid if none has room. */
 [[nodiscard]] RunnerIndex ChooseRunner(const Cell& aCell,
                                        const PlacementQuery& aQuery,
--- a/src/core/sched/preemption_cmd.cpp
+++ b/src/core/sched/preemption_cmd.cpp
@@ -62,17 +62,16 @@
 
 namespace {
 
-/** @return whether a task was stopped for this one, now or within
- *  kPreemptPause. */
+/** @return whether a task was stopped for this one. */
 bool PreemptForTask(Cell& aCell, const TaskKey& aKey, const TaskPlace& aPlace,
                     const PlacementQuery& aQuery, TimePoint aNow) {
   Task& task = *aPlace.m_task;
-  if (aNow - task.m_preemptedAt < kPreemptPause) return true;
   const int priority = aPlace.m_job->m_spec.m_policy.m_priority;
   Victim victim;
   for (uint32_t at = 0; at < aCell.m_runners.size(); ++at) {
     const Runner& runner = aCell.m_runners[at];
     if (!IsUsable(runner, aQuery.m_service, aNow)) continue;
+    if (!Fits(TakenBy(*aPlace.m_step), runner.m_entry.m_capacity)) continue;
     if (!MeetsConstraints(aQuery, runner, RunnerIndex(at))) continue;
     ConsiderRunner(aCell, runner, *aPlace.m_step, priority, aNow, victim);
   }
@@ -101,17 +100,21 @@
 
 }  // namespace
 
-void PreemptForStep(Cell& aCell, const QueueKey& aKey,
-                    const PlacementQuery& aQuery, TimePoint aNow) {
+uint32_t PreemptForStep(Cell& aCell, const QueueKey& aKey,
+                        const PlacementQuery& aQuery, TimePoint aNow) {
+  uint32_t searches = 0;
   for (uint32_t index = 0; index < aQuery.m_step->m_count; ++index) {
     const TaskKey key{aKey.m_job, aKey.m_occurrence, aKey.m_step, index};
     const TaskPlace place = FindTask(aCell, key);
     if (place.m_task->m_phase != TaskPhase::Ready) continue;
-    if (aNow - place.m_task->m_phaseSince < kPreemptAfter) return;
+    if (aNow - place.m_task->m_phaseSince < kPreemptAfter) break;
+    if (aNow - place.m_task->m_preemptedAt < kPreemptPause) continue;
+    ++searches;
     if (PreemptForTask(aCell, key, place, aQuery, aNow)) continue;
     PauseSearch(aCell, aKey, *aQuery.m_step, aNow);
-    return;
+    break;
   }
+  return searches;
 }
 
 }  // namespace bronze::sched
--- a/src/core/sched/preemption_cmd.h
+++ b/src/core/sched/preemption_cmd.h
@@ -21,9 +21,10 @@
  * second. Among the tasks whose end alone makes enough room, it chooses the one
  * that loses the least work.
  * @pre No runner has room for a task of the step.
+ * @return number of searches, each of which examines the runs of all runners.
  */
-void PreemptForStep(Cell& aCell, const QueueKey& aKey,
-                    const PlacementQuery& aQuery, TimePoint aNow);
+uint32_t PreemptForStep(Cell& aCell, const QueueKey& aKey,
+                        const PlacementQuery& aQuery, TimePoint aNow);
 
 }  // namespace bronze::sched
 
--- a/src/core/sched/schedule_cmd.h
+++ b/src/core/sched/schedule_cmd.h
@@ -14,6 +14,11 @@
  *  queue. */
 void PlaceTasks(Cell& aCell, TimePoint aNow);
 
+/** @return for how long the passes have not reached the end of the queue; zero:
+ *  the last one did. No step's last examination is longer ago than the longest
+ *  round before and this time together. */
+[[nodiscard]] Duration QueueRoundTime(const Cell& aCell, TimePoint aNow);
+
 /** Orders the starts of the job's tasks whose chosen runner is durable. */
 void OrderStarts(Cell& aCell, JobId aJob, TimePoint aNow);
 
--- a/src/scheduler/entry_metrics.cpp
+++ b/src/scheduler/entry_metrics.cpp
@@ -7,6 +7,7 @@
 #include "core/metrics/histogram_func.h"
 #include "core/sched/evacuation_cmd.h"
 #include "core/sched/restart_cmd.h"
+#include "core/sched/schedule_cmd.h"
 #include "scheduler/boot_clock.h"
 #include "scheduler/entry_node.h"
 
@@ -69,6 +70,8 @@
                 progress.m_tasks);
   }
   append("queued_steps", aCell.m_queue.size());
+  append("queue_round_ms", ToMillis(sched::QueueRoundTime(aCell, BootNow())));
+  append("longest_queue_round_ms", ToMillis(counts.m_longestQueueRound));
   append("runners", aCell.m_runners.size());
   append("starts_in_flight", aCell.m_window.m_inFlight);
   append("start_window", static_cast<uint64_t>(aCell.m_window.m_limit));
--- a/tests/core/sched/failed_search_test.cpp
+++ b/tests/core/sched/failed_search_test.cpp
@@ -20,12 +20,17 @@
   BOOST_REQUIRE_EQUAL(StartAll().size(), 1U);
   for (uint64_t id = 2; id < 30; ++id) Submit(Spec(id));
   BOOST_TEST(StartAll().empty());
-  BOOST_TEST(m_cell.m_failedSearches.size() == 1U);
-  const size_t seen = m_cell.m_failedSearches[0].m_seen;
+  const FailedSearches& failed = m_cell.m_failedSearches;
+  BOOST_TEST(failed.m_byStep.empty());
+  BOOST_REQUIRE_EQUAL(failed.m_byKind.size(), 1U);
+  BOOST_REQUIRE_EQUAL(failed.m_byKind.begin()->second.size(), 1U);
+  const size_t seen = failed.m_byKind.begin()->second[0].m_seen;
   m_cell.m_capacityChanged = true;
   BOOST_TEST(StartAll().empty());
-  BOOST_TEST(m_cell.m_failedSearches.size() == 1U);
-  BOOST_TEST(m_cell.m_failedSearches[0].m_seen == seen);
+  BOOST_TEST(failed.m_byStep.empty());
+  BOOST_REQUIRE_EQUAL(failed.m_byKind.size(), 1U);
+  BOOST_REQUIRE_EQUAL(failed.m_byKind.begin()->second.size(), 1U);
+  BOOST_TEST(failed.m_byKind.begin()->second[0].m_seen == seen);
 }
 
 /** Guards against room that stays unused until the next full search. */
