--- a/src/core/sched/schedule_cmd.cpp
+++ b/src/core/sched/schedule_cmd.cpp
@@ -24,8 +24,8 @@
  *  waiting tasks and runners. */
 constexpr Duration kDemandInterval = milliseconds(100);
 
-/** Time per queued step between two walks over the whole queue. One takes some
- *  20 ns a step, so that each kind of walk takes a thousandth of the time. */
+/** Time per queued step between two walks over the whole queue. They take some
+ *  100 ns a step together, which is thus half a percent of the time. */
 constexpr Duration kWalkIntervalPerStep = std::chrono::microseconds(20);
 
 Duration WalkInterval(const Cell& aCell) {
