sched: the estimate of a service's own load is symmetric again

Cause: an estimate that fell slowly left best-effort jobs too little room on small, full deployments.

Change: one weight of 0.4 for rises and falls, as before.

--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -18,12 +18,9 @@
 
 namespace {
 
-/** Weights of the newest measurement in a task's own load, which fluctuates
- *  over about ten seconds. The estimate follows a rise soon and a fall slowly,
- *  so that the room that best-effort tasks get fits the recent crests. An
- *  estimate that followed each swing would be late on both slopes. */
-constexpr double kRisingLoadWeight = 0.5;
-constexpr double kFallingLoadWeight = 0.08;
+/** Weight of the newest measurement in a task's own load, which fluctuates
+ *  over about ten seconds. */
+constexpr double kOwnLoadWeight = 0.4;
 /** Above this load, changes of the load are hardly visible in the tail
  *  latency. */
 constexpr double kSaturatedLoad = 0.9;
@@ -131,9 +128,7 @@
   }
   const double own = std::max(0.0, load - added);
   if (task.m_ownLoad < 0.0) task.m_ownLoad = own;
-  const double weight =
-      own > task.m_ownLoad ? kRisingLoadWeight : kFallingLoadWeight;
-  task.m_ownLoad += weight * (own - task.m_ownLoad);
+  task.m_ownLoad += kOwnLoadWeight * (own - task.m_ownLoad);
 }
 
 /** How the shares have changed from aBefore to aNow. */
