sched: commits take new jobs before the states of known ones

Cause: a commit took all changed jobs in turns by their ids. While more jobs change than a commit holds, the caller of a new job waited for the states of jobs for which nobody waits.

Change: jobs whose spec is not stored go first, in the order in which they came. If other jobs have changed too, a third of the rows and bytes and half of the tasks are kept for these, which still take turns; what one kind leaves the other uses. Narrow commits, which isolate a job that the store rejects, take all jobs in turns as before. A single job that was never sent to the store can be withdrawn.

--- a/src/core/sched/cell_base.h
+++ b/src/core/sched/cell_base.h
@@ -11,6 +11,7 @@
 #ifndef BRONZE_CORE_SCHED_CELL_BASE_H_
 #define BRONZE_CORE_SCHED_CELL_BASE_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -244,8 +245,13 @@
   std::set<JobId> m_dirty;
   /** Jobs that are kept out of m_dirty until then; see HoldBackJob. */
   std::map<JobId, TimePoint> m_heldBack;
-  /** Job that the last commit took last. The next one goes on behind it and
-   *  round, so each changed job is taken before any is taken twice, also while
+  /** Jobs whose callers wait until they are stored, in the order in which they
+   *  came; contains each job with Job::m_waitsAsNew. These go first into a
+   *  commit, up to a share of it. Entries of jobs that have left since are
+   *  dropped by the next commit. */
+  std::deque<JobId> m_newJobs;
+  /** Other job that the last commit took last. The next one goes on behind it
+   *  and round, so each of them is taken before any is taken twice, also while
    *  more jobs change than one commit holds. */
   JobId m_lastTaken;
   /** Next due time of each scheduled job. */
--- a/src/core/sched/commit_cmd.cpp
+++ b/src/core/sched/commit_cmd.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "core/sched/admission_func.h"
 #include "core/sched/failed_runs_func.h"
 #include "core/sched/interference_func.h"
 #include "core/sched/job_write_cmd.h"
@@ -66,8 +67,72 @@
   aCell.m_removedBlocks = std::move(kept);
 }
 
-void TakeJobWrites(Cell& aCell, Commit& aCommit, CommitBudget& aBudget) {
-  while (!aCell.m_dirty.empty()) {
+/** Bytes that a commit keeps for the rows of known jobs: the state and, of a
+ *  divided job whose spec is not stored yet, the spec. */
+size_t OtherBytes(const Cell& aCell) {
+  return std::max(aCell.m_settings.m_commitBytes / 3,
+                  BytesAsSent(2 * aCell.m_settings.m_rowBytes, 2));
+}
+
+/** @return what new jobs may take of the budget before other jobs. */
+CommitBudget NewJobShare(const Cell& aCell, const CommitBudget& aBudget) {
+  const size_t known = aCell.m_newJobs.size();
+  const size_t others =
+      aCell.m_dirty.size() > known ? aCell.m_dirty.size() - known : 0;
+  if (others == 0) return aBudget;
+  CommitBudget share;
+  share.m_rows = NewJobRows(aBudget.m_rows, others);
+  share.m_bytes =
+      aBudget.m_bytes - std::min(aBudget.m_bytes, OtherBytes(aCell));
+  share.m_tasks = aBudget.m_tasks / 2;
+  static_assert(kMaxTasksPerStateRow <= kMaxTasksPerCommit / 2,
+                "the rest has room for any state row");
+  return share;
+}
+
+/** @return the first of m_newJobs; drops entries of jobs that have left. */
+Job* FirstNewJob(Cell& aCell) {
+  while (!aCell.m_newJobs.empty()) {
+    const JobId id = aCell.m_newJobs.front();
+    const auto found = aCell.m_jobs.find(id);
+    const bool waits =
+        found != aCell.m_jobs.end() && found->second.m_waitsAsNew;
+    if (waits && aCell.m_dirty.count(id) > 0) return &found->second;
+    if (waits) found->second.m_waitsAsNew = false;
+    aCell.m_newJobs.pop_front();
+  }
+  return nullptr;
+}
+
+/** Takes new jobs in the order in which they came, up to the share.
+ *  @return false if the commit can contain no further job. */
+bool TakeNewJobs(Cell& aCell, Commit& aCommit, CommitBudget aShare,
+                 CommitBudget& aBudget) {
+  const CommitBudget before = aShare;
+  bool isWhole = true;
+  while (Job* job = FirstNewJob(aCell)) {
+    auto write = TakeJobWrite(aCell, *job, aShare);
+    if (!write) break;
+    aCommit.m_writes.push_back(std::move(*write));
+    job->m_waitsAsNew = false;
+    aCell.m_newJobs.pop_front();
+    // The rest of it goes into later commits, as that of a known job.
+    isWhole = !HasUnstoredBlock(*job);
+    if (!isWhole) break;
+    aCell.m_dirty.erase(job->m_spec.m_id);
+  }
+  aBudget.m_rows -= before.m_rows - aShare.m_rows;
+  aBudget.m_bytes -= before.m_bytes - aShare.m_bytes;
+  aBudget.m_tasks -= before.m_tasks - aShare.m_tasks;
+  return isWhole;
+}
+
+/** Takes changed jobs in the order of their ids, going on where the last commit
+ *  ended. @return false if the commit can contain no further job. */
+bool TakeKnownJobs(Cell& aCell, Commit& aCommit, CommitBudget& aBudget,
+                   bool aSkipsNew) {
+  // No job is visited twice.
+  for (size_t left = aCell.m_dirty.size(); left > 0; --left) {
     auto next = aCell.m_dirty.upper_bound(aCell.m_lastTaken);
     if (next == aCell.m_dirty.end()) next = aCell.m_dirty.begin();
     const JobId id = *next;
@@ -76,14 +141,31 @@
       aCell.m_dirty.erase(next);
       continue;
     }
+    if (aSkipsNew && found->second.m_waitsAsNew) {
+      aCell.m_lastTaken = id;
+      continue;
+    }
     auto write = TakeJobWrite(aCell, found->second, aBudget);
-    if (!write) return;
+    if (!write) return false;
     aCommit.m_writes.push_back(std::move(*write));
+    found->second.m_waitsAsNew = false;
     aCell.m_lastTaken = id;
     // The rest of it goes into later commits.
-    if (HasUnstoredBlock(found->second)) return;
+    if (HasUnstoredBlock(found->second)) return false;
     aCell.m_dirty.erase(next);
   }
+  return true;
+}
+
+void TakeJobWrites(Cell& aCell, Commit& aCommit, CommitBudget& aBudget) {
+  if (aBudget.m_rows < kMinSharedRows) {
+    TakeKnownJobs(aCell, aCommit, aBudget, false);
+    return;
+  }
+  const CommitBudget share = NewJobShare(aCell, aBudget);
+  if (!TakeNewJobs(aCell, aCommit, share, aBudget)) return;
+  if (!TakeKnownJobs(aCell, aCommit, aBudget, true)) return;
+  TakeNewJobs(aCell, aCommit, aBudget, aBudget);
 }
 
 }  // namespace
@@ -142,10 +224,18 @@
 }
 
 void ReturnCommit(Cell& aCell, const Commit& aCommit) {
-  for (const JobWrite& write : aCommit.m_writes) {
-    aCell.m_dirty.insert(write.m_job);
-    const auto found = aCell.m_jobs.find(write.m_job);
-    if (found != aCell.m_jobs.end()) ReturnJobWrite(found->second, write);
+  // From the last one, so that new jobs come before later ones in their order.
+  for (auto write = aCommit.m_writes.rbegin(); write != aCommit.m_writes.rend();
+       ++write) {
+    aCell.m_dirty.insert(write->m_job);
+    const auto found = aCell.m_jobs.find(write->m_job);
+    if (found == aCell.m_jobs.end()) continue;
+    Job& job = found->second;
+    ReturnJobWrite(job, *write);
+    if (!job.m_specStored && !job.m_waitsAsNew && job.m_tasksPerBlock == 0) {
+      job.m_waitsAsNew = true;
+      aCell.m_newJobs.push_front(write->m_job);
+    }
   }
   aCell.m_removedBlocks.insert(aCell.m_removedBlocks.end(),
                                aCommit.m_removedBlocks.begin(),
@@ -253,9 +343,11 @@
 }  // namespace
 
 void HoldBackJob(Cell& aCell, JobId aJob, TimePoint aUntil) {
-  if (aCell.m_jobs.count(aJob) == 0) return;
+  const auto found = aCell.m_jobs.find(aJob);
+  if (found == aCell.m_jobs.end()) return;
   aCell.m_heldBack[aJob] = aUntil;
   aCell.m_dirty.erase(aJob);
+  found->second.m_waitsAsNew = false;
 }
 
 bool AddTaskBlock(StoredState& aState, const JobSpec& aSpec,
--- a/src/core/sched/commit_cmd.h
+++ b/src/core/sched/commit_cmd.h
@@ -38,7 +38,10 @@
 /**
  * Each row is within CellSettings::m_rowBytes, and the commit, with the owner's
  * row, within CellSettings::m_commitBytes. What does not fit goes into the next
- * one.
+ * one. New jobs, whose callers wait, go first in the order in which they came.
+ * If other changed jobs wait as well, a third of the rows and bytes and half of
+ * the tasks are kept for these, so that ends of runs become durable at a rate
+ * that does not depend on the number of new jobs.
  * @param aMaxRows limits the rows that the commit writes or deletes.
  */
 [[nodiscard]] Commit TakeCommit(Cell& aCell, size_t aMaxRows, TimePoint aNow);
--- a/src/core/sched/job_cmd.cpp
+++ b/src/core/sched/job_cmd.cpp
@@ -121,6 +121,7 @@
   job.m_spec.m_acceptedAt = aUnixNow;
   IndexSteps(aCell, job);
   MarkChanged(aCell, job);
+  AddNewJob(aCell, job);
   UpdatePending(aCell, job);
   ++aCell.m_counts.m_accepted;
   if (job.m_spec.m_maxRuns == 0) {
@@ -174,30 +175,36 @@
              : static_cast<uint32_t>(found->second.size());
 }
 
-std::vector<JobId> WithdrawUnstored(Cell& aCell, const std::set<JobId>& aKept) {
-  std::vector<JobId> withdrawn;
-  const std::set<JobId> dirty = aCell.m_dirty;
-  for (const JobId id : dirty) {
-    const auto found = aCell.m_jobs.find(id);
-    if (found == aCell.m_jobs.end() || found->second.m_specStored ||
-        aKept.count(id) > 0) {
-      continue;
-    }
-    // Blocks of it may be stored already. It stays, and its callers wait.
-    if (found->second.m_tasksPerBlock > 0) {
-      continue;
+bool WithdrawJob(Cell& aCell, JobId aJob) {
+  const auto found = aCell.m_jobs.find(aJob);
+  if (found != aCell.m_jobs.end()) {
+    // Blocks of a divided job may be stored already. It stays, and its callers
+    // wait.
+    if (aCell.m_dirty.count(aJob) == 0 || found->second.m_specStored ||
+        found->second.m_tasksPerBlock > 0) {
+      return false;
     }
     ForgetJob(aCell, found->second);
-    withdrawn.push_back(id);
+    std::erase(aCell.m_newJobs, aJob);
+    return true;
+  }
+  const auto route = aCell.m_routes.find(aJob);
+  // The route of a job that has moved replaces the job.
+  if (aCell.m_dirtyRoutes.count(aJob) == 0 || route == aCell.m_routes.end() ||
+      route->second.m_moveCount > 0) {
+    return false;
   }
-  const std::set<JobId> dirtyRoutes = aCell.m_dirtyRoutes;
-  for (const JobId id : dirtyRoutes) {
-    // The route of a job that has moved replaces the job.
-    const bool hasMoved = aCell.m_routes.at(id).m_moveCount > 0;
-    if (hasMoved || aKept.count(id) > 0) continue;
-    aCell.m_dirtyRoutes.erase(id);
-    aCell.m_routes.erase(id);
-    withdrawn.push_back(id);
+  aCell.m_dirtyRoutes.erase(aJob);
+  aCell.m_routes.erase(route);
+  return true;
+}
+
+std::vector<JobId> WithdrawUnstored(Cell& aCell, const std::set<JobId>& aKept) {
+  std::set<JobId> unstored = aCell.m_dirty;
+  unstored.insert(aCell.m_dirtyRoutes.begin(), aCell.m_dirtyRoutes.end());
+  std::vector<JobId> withdrawn;
+  for (const JobId id : unstored) {
+    if (aKept.count(id) == 0 && WithdrawJob(aCell, id)) withdrawn.push_back(id);
   }
   return withdrawn;
 }
--- a/src/core/sched/job_cmd.h
+++ b/src/core/sched/job_cmd.h
@@ -63,6 +63,11 @@
 /** @return the number of accepted jobs of the queue without a started task. */
 [[nodiscard]] uint32_t PendingJobs(const Cell& aCell, const QueueId& aQueue);
 
+/** Removes the job, or its route, that no commit contains or ever contained, so
+ *  that its callers can be told that it never runs. @return false if it may be
+ *  stored in part. */
+[[nodiscard]] bool WithdrawJob(Cell& aCell, JobId aJob);
+
 /**
  * Removes the jobs and routes that are not stored yet, except those in aKept,
  * so that their callers can be told that they never run.
--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -193,6 +193,7 @@
   uint64_t m_version = 1;         ///< Incremented by each change to be stored.
   uint64_t m_storedVersion = 0;   ///< Highest version that is durable.
   bool m_specStored = false;
+  bool m_waitsAsNew = false;  ///< In Cell::m_newJobs, and in no commit yet.
   /** Tasks per block of a divided job (stored_state_type.h); 0: all tasks are
    * in its state row. Set when that row would be too large (TakeJobWrite), and
    *  never changed after that, since rows of the other form would be left. */
--- a/src/core/sched/job_write_cmd.cpp
+++ b/src/core/sched/job_write_cmd.cpp
@@ -146,11 +146,14 @@
 
 }  // namespace
 
+size_t BytesAsSent(size_t aValueBytes, size_t aRows) {
+  // Values are sent in base64.
+  return (aValueBytes + 2 * aRows) / 3 * 4 + 4 + aRows * kRowOverhead;
+}
+
 bool TakeRows(CommitBudget& aBudget, size_t aRows, size_t aValueBytes,
               size_t aTasks) {
-  // Values are sent in base64.
-  const size_t bytes =
-      (aValueBytes + 2 * aRows) / 3 * 4 + 4 + aRows * kRowOverhead;
+  const size_t bytes = BytesAsSent(aValueBytes, aRows);
   if (aRows > aBudget.m_rows || bytes > aBudget.m_bytes ||
       aTasks > aBudget.m_tasks) {
     return false;
--- a/src/core/sched/job_write_cmd.h
+++ b/src/core/sched/job_write_cmd.h
@@ -26,6 +26,9 @@
   size_t m_tasks = 0;
 };
 
+/** @return the bytes of aRows with values of aValueBytes in all, as sent. */
+[[nodiscard]] size_t BytesAsSent(size_t aValueBytes, size_t aRows);
+
 /** Takes rows with aValueBytes in all from the budget, and aTasks. @return
  *  false, and takes nothing, if they do not fit. */
 [[nodiscard]] bool TakeRows(CommitBudget& aBudget, size_t aRows,
--- a/src/core/sched/move_cmd.cpp
+++ b/src/core/sched/move_cmd.cpp
@@ -154,6 +154,7 @@
   // makes durable must not count as a version of the job as it is now.
   job.m_version = std::max(job.m_version, versionBefore + 1);
   MarkChanged(aCell, job);
+  AddNewJob(aCell, job);
   aCell.m_capacityChanged = true;
   ++aCell.m_counts.m_jobsAdopted;
   return DurableVersion{id, job.m_version};
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -34,6 +34,11 @@
   if (aCell.m_heldBack.count(id) == 0) aCell.m_dirty.insert(id);
 }
 
+void AddNewJob(Cell& aCell, Job& aJob) {
+  aJob.m_waitsAsNew = true;
+  aCell.m_newJobs.push_back(aJob.m_spec.m_id);
+}
+
 void MarkTaskChanged(const TaskPlace& aPlace) {
   const Job& job = *aPlace.m_job;
   if (job.m_tasksPerBlock == 0) return;
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -27,6 +27,9 @@
 /** Marks the job as changed, so that the next commit includes it. */
 void MarkChanged(Cell& aCell, Job& aJob);
 
+/** Puts a changed job whose spec is not stored among the new ones. */
+void AddNewJob(Cell& aCell, Job& aJob);
+
 /**
  * Must accompany each change of what is stored of the task, so that the next
  * commit includes its block. Reserve and Release call it, so only changes that
