scheduler: accept jobs that a slow store can store in time

Cause: with a store of 0.4 s a transaction, 300 jobs under way and 40 calls a second with windows of 3 s, callers were refused or got no answer in time. The owner saw the time-out of one attempt, 1.3 s, as the caller's window, and the VM with the caller closed the attempt after it. One failed try of a commit refused all callers.

Change: the owner gets the whole window and uses sched::DecideAdmission. A VM whose call is unanswered after 1.3 s looks for another owner as before, but still takes the first one's answer. New jobs that wait are withdrawn once the store is away rather than slow, or at their deadline if they were never sent to the store; these callers are told so (503, deadline_unreachable) instead of an unknown outcome. Each refusal is logged with its inputs and counted by verdict, and its time to come back reaches the caller.

--- a/src/codec/peer_call_cbor.cpp
+++ b/src/codec/peer_call_cbor.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "codec/bounded_json.h"
@@ -28,6 +29,9 @@
 constexpr size_t kSpec = 5;
 constexpr size_t kRouted = 6;
 constexpr size_t kState = 7;
+/** Position in the array of an answer with an error. */
+constexpr size_t kRetryAfter = 2;
+constexpr Duration kMaxRetryAfter = seconds(60);
 
 std::string_view BytesOf(const Json& aJson) {
   const auto& bytes = aJson.get_binary();
@@ -93,9 +97,13 @@
 
 std::string EncodePeerAnswer(const PeerAnswer& aAnswer) {
   if (aAnswer.m_error) {
-    return ToBytes(
+    Json refusal =
         Json::array({std::string(AnswerFor(aAnswer.m_error->m_kind).m_name),
-                     aAnswer.m_error->m_message}));
+                     aAnswer.m_error->m_message});
+    if (aAnswer.m_retryAfter > Duration::zero()) {
+      refusal.push_back(aAnswer.m_retryAfter.count());
+    }
+    return ToBytes(refusal);
   }
   Json answer =
       Json::array({"", static_cast<int>(aAnswer.m_state), aAnswer.m_count});
@@ -113,6 +121,10 @@
     if (!name.empty()) {
       answer.m_error =
           MakeError(ErrorKindFromName(name), json.at(1).get<std::string>());
+      if (json.size() > kRetryAfter) {
+        answer.m_retryAfter = Duration(std::clamp<int64_t>(
+            json.at(kRetryAfter).get<int64_t>(), 0, kMaxRetryAfter.count()));
+      }
       return answer;
     }
     const int state = json.at(1).get<int>();
--- a/src/codec/peer_call_cbor.h
+++ b/src/codec/peer_call_cbor.h
@@ -39,6 +39,8 @@
 
 struct PeerAnswer {
   std::optional<Error> m_error;
+  /** With m_error: when the call may succeed; zero: not known. */
+  Duration m_retryAfter{};
   sched::JobState m_state = sched::JobState::Queued;  ///< For LookUp.
   uint64_t m_count = 0;                               ///< For CountPending.
   /** Nothing was done: the call belongs to this cell. */
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -21,6 +21,7 @@
 namespace base64 = boost::beast::detail::base64;
 namespace json = boost::json;
 
+constexpr int kTooManyCalls = 429;
 /** Commits, reads and waits for changes run in parallel. */
 constexpr size_t kIdleConnections = 6;
 /** The store sends at most 1 MB of rows in one answer; base64 adds a third. */
@@ -105,7 +106,7 @@
     case 403:
     case 404:
       return StoreOutcome::Rejected;
-    case 429:
+    case kTooManyCalls:
     case 503:
     case 507:
       return StoreOutcome::Refused;
@@ -231,8 +232,9 @@
          }
          UpdateClockReading(rows, askedAt);
          const bool answered = aOutcome.m_stage == CallStage::CompleteReply;
+         const int status = answered ? aOutcome.m_reply.m_status : 0;
          handler({rows.m_outcome, rows.m_version, std::move(rows.m_rows),
-                  answered ? aOutcome.m_reply.m_status : 0, aOutcome.m_origin});
+                  status == kTooManyCalls, status, aOutcome.m_origin});
        });
 }
 
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -63,8 +63,10 @@
   StoreOutcome m_outcome = StoreOutcome::Unknown;
   RowVersion m_version;             ///< Version of the rows written.
   std::vector<StoreRow> m_current;  ///< With Conflict: current m_expected rows.
-  int m_status = 0;                 ///< For the log; 0: no answer.
-  ReplyOrigin m_origin;             ///< For the log.
+  /** With Refused: the store had too many calls. */
+  bool m_overloaded = false;
+  int m_status = 0;      ///< For the log; 0: no answer.
+  ReplyOrigin m_origin;  ///< For the log.
 };
 
 struct RowsResult {
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -118,10 +118,8 @@
   // queued step may fit now.
   m_cell.m_capacityChanged =
       m_cell.m_capacityChanged || !m_cell.m_queue.empty();
-  FailWaiters(
-      MakeError(ErrorKind::Timeout,
-                "the change was not stored before the caller's deadline"),
-      true);
+  RefuseUnstoredIfAway(now);
+  FailExpiredWaiters(now);
   if (!m_authorityLapsed && !HasAuthority(now)) {
     m_authorityLapsed = true;
     m_log.Write(
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -13,6 +13,7 @@
 #ifndef BRONZE_SCHEDULER_CELL_OWNER_H_
 #define BRONZE_SCHEDULER_CELL_OWNER_H_
 
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
@@ -22,6 +23,7 @@
 #include "codec/job_cbor.h"
 #include "codec/peer_call_cbor.h"
 #include "core/metrics/histogram_type.h"
+#include "core/sched/admission_func.h"
 #include "core/sched/commit_cmd.h"
 #include "core/sched/live_config_type.h"
 #include "platform/advice_client.h"
@@ -115,6 +117,11 @@
   }
   /** @return commits whose content the store did not accept. */
   [[nodiscard]] uint64_t RejectedCommits() const { return m_rejectedCommits; }
+  /** @return new jobs by the verdict on them. */
+  [[nodiscard]] const std::array<uint64_t, sched::kAdmissionVerdicts>&
+  Admissions() const {
+    return m_admissions;
+  }
   /** @return how late the last ticks of the control loop were. */
   [[nodiscard]] Duration LoopLag() const { return m_loopLag; }
   [[nodiscard]] bool IsScheduling() const { return m_loaded && !m_ended; }
@@ -178,10 +185,16 @@
   /** Handles calls about jobs that another cell schedules. @return whether it
    *  did. */
   bool HandleRouted(const PeerCall& aCall, AnswerHandler& aHandler);
-  /** @return why a new job cannot be accepted in time, if so. */
-  [[nodiscard]] std::optional<Error> RefuseNewJob(const PeerCall& aCall,
-                                                  TimePoint aNow) const;
+  [[nodiscard]] sched::CommitFailures Failures(TimePoint aNow) const;
+  [[nodiscard]] bool IsStoreAway(TimePoint aNow) const;
+  [[nodiscard]] sched::AdmissionInput AdmissionInputOf(const PeerCall& aCall,
+                                                       TimePoint aNow) const;
+  /** Whether a new job can be accepted in time. */
+  [[nodiscard]] sched::Admission Admit(const PeerCall& aCall,
+                                       TimePoint aNow) const;
   void Submit(PeerCall aCall, AnswerHandler aHandler);
+  void RefuseNewJob(const PeerCall& aCall, const sched::Admission& aAdmission,
+                    TimePoint aNow, const AnswerHandler& aHandler);
   /** Takes over a job from another cell. */
   void Adopt(PeerCall aCall, AnswerHandler aHandler);
   /** Sends the jobs that move to the owners of their new cells. */
@@ -193,10 +206,19 @@
   [[nodiscard]] bool IsAnswered(JobId aJob, const Waiter& aWaiter,
                                 PeerAnswer& aAnswer) const;
   void AnswerWaiters();
-  void FailWaiters(const Error& aError, bool aOnlyExpired);
+  void FailWaiters(const Error& aError);
+  /** Answers the calls whose deadline has come. Their new jobs are withdrawn
+   *  if they were never sent to the store; else the outcome is unknown. */
+  void FailExpiredWaiters(TimePoint aNow);
+  /** @return the jobs and routes in the commit that may be stored. */
+  [[nodiscard]] std::set<JobId> JobsInCommit() const;
   /** Withdraws new jobs that were never sent to the store, and tells their
    *  callers that these jobs will not run. */
-  void RefuseUnstored(bool aCommitUnderWay);
+  void RefuseUnstored();
+  /** The same if the store is away, rather than slow. */
+  void RefuseUnstoredIfAway(TimePoint aNow);
+  /** Answers the callers of withdrawn jobs. */
+  void RefuseWithdrawn(const std::vector<JobId>& aJobs, const Error& aError);
 
   // cell_owner_commit.cpp
   void StartCommit();
@@ -263,17 +285,22 @@
   StoreTransaction m_transaction;  ///< Of m_commit; repeated until settled.
   bool m_commitPending = false;
   bool m_commitOutcomeUnknown = false;  ///< A try got no answer.
-  bool m_lastCommitTryFailed = false;   ///< The last try of a commit failed.
-  TimePoint m_commitNotBefore;          ///< Next commit after a refused one.
-  size_t m_commitRows;  ///< Limit, below the store's after rejections.
+  /** Of the last try of a commit. */
+  sched::CommitFailure m_commitFailure = sched::CommitFailure::None;
+  /** When the first failed try since the last success was sent. */
+  TimePoint m_commitFailingSince;
+  TimePoint m_commitNotBefore;  ///< Next commit after a refused one.
+  size_t m_commitRows;          ///< Limit, below the store's after rejections.
   uint64_t m_rejectedCommits = 0;
   uint32_t m_commitTries = 0;
   TimePoint m_commitBegunAt;
   TimePoint m_commitSentAt;
-  TimePoint m_lastCommitSentAt;    ///< Of the last acknowledged commit.
-  Duration m_meanCommitTime{};     ///< Moving average of m_commitTimes.
+  TimePoint m_lastCommitSentAt;  ///< Of the last acknowledged commit.
+  sched::RecentCommits m_recentCommits;
   LatencyHistogram m_commitTimes;  ///< First try to acknowledgement.
 
+  std::array<uint64_t, sched::kAdmissionVerdicts> m_admissions{};
+
   uint64_t m_heartbeatSequence = 0;
   RowVersion m_heartbeatVersion;  ///< Of the heartbeat row, as last known.
   bool m_heartbeatPending = false;
--- a/src/scheduler/cell_owner_calls.cpp
+++ b/src/scheduler/cell_owner_calls.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "core/error/error_func.h"
 #include "core/sched/job_cmd.h"
 #include "core/sched/move_cmd.h"
 #include "core/sched/route_cmd.h"
@@ -14,15 +15,33 @@
 
 namespace {
 
-/** Above this delay of the control loop, new jobs are refused: they would take
- *  time from work that was accepted. */
-constexpr Duration kMaxLagForNewJobs = milliseconds(600);
-/** A new job is refused if the commits before its own are expected to take more
- *  than this share of the caller's window. */
-constexpr int64_t kCommitShareOfWindow = 2;
 constexpr Duration kAdoptWindow = seconds(2);
-/** Changed jobs that fit into one commit, at two rows each. */
-constexpr int64_t kJobsPerCommit = 45;
+
+int64_t ToMillis(Duration aTime) {
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
+/** @return the time at which the caller must be answered. */
+TimePoint DeadlineOf(const PeerCall& aCall) {
+  return BootNow() +
+         std::max(aCall.m_window - sched::kAnswerTime, aCall.m_window / 2);
+}
+
+Error RefusalOf(sched::AdmissionVerdict aVerdict) {
+  switch (aVerdict) {
+    case sched::AdmissionVerdict::StoreAway:
+      return MakeError(ErrorKind::StoreUnavailable,
+                       "the store is not available");
+    case sched::AdmissionVerdict::TooLate:
+      return MakeError(ErrorKind::DeadlineUnreachable,
+                       "the job cannot be stored before the caller's deadline");
+    case sched::AdmissionVerdict::OwnerBehind:
+    case sched::AdmissionVerdict::Admit:
+      break;
+  }
+  return MakeError(ErrorKind::NotReady,
+                   "the owner of the cell is behind with its work");
+}
 
 }  // namespace
 
@@ -84,22 +103,39 @@
   aHandler(std::move(answer));
 }
 
-std::optional<Error> CellOwner::RefuseNewJob(const PeerCall& aCall,
-                                             TimePoint aNow) const {
-  if (!HasAuthority(aNow) || m_lastCommitTryFailed) {
-    return MakeError(ErrorKind::StoreUnavailable, "the store is not available");
-  }
-  if (m_loopLag > kMaxLagForNewJobs) {
-    return MakeError(ErrorKind::NotReady,
-                     "the owner of the cell is behind with its work");
-  }
-  const auto queued = static_cast<int64_t>(m_cell.m_dirty.size());
-  const Duration wait = m_meanCommitTime * (1 + queued / kJobsPerCommit);
-  if (wait > aCall.m_window / kCommitShareOfWindow) {
-    return MakeError(ErrorKind::NotReady,
-                     "the job cannot be stored before the caller's deadline");
+sched::CommitFailures CellOwner::Failures(TimePoint aNow) const {
+  if (m_commitFailure == sched::CommitFailure::None) return {};
+  return {m_commitFailure, aNow - m_commitFailingSince};
+}
+
+bool CellOwner::IsStoreAway(TimePoint aNow) const {
+  return sched::IsStoreAway(Failures(aNow),
+                            sched::ExpectedCommitTime(m_recentCommits));
+}
+
+sched::AdmissionInput CellOwner::AdmissionInputOf(const PeerCall& aCall,
+                                                  TimePoint aNow) const {
+  sched::AdmissionInput input;
+  input.m_hasAuthority = HasAuthority(aNow);
+  input.m_loopLag = m_loopLag;
+  input.m_window = aCall.m_window;
+  input.m_expectedCommit = sched::ExpectedCommitTime(m_recentCommits);
+  if (m_commitPending) {
+    input.m_tryAge = aNow - m_commitSentAt;
+  } else {
+    input.m_commitPause = std::max(m_commitNotBefore - aNow, Duration::zero());
   }
-  return {};
+  input.m_commitRows = m_commitRows;
+  input.m_rowsFirst = m_cell.m_dirtyRoutes.size();
+  input.m_newJobsAhead = m_cell.m_newJobs.size();
+  const size_t changed = m_cell.m_dirty.size();
+  input.m_otherRows = changed - std::min(changed, input.m_newJobsAhead);
+  input.m_failures = Failures(aNow);
+  return input;
+}
+
+sched::Admission CellOwner::Admit(const PeerCall& aCall, TimePoint aNow) const {
+  return sched::DecideAdmission(AdmissionInputOf(aCall, aNow));
 }
 
 bool CellOwner::HandleRouted(const PeerCall& aCall, AnswerHandler& aHandler) {
@@ -130,7 +166,9 @@
     if (aCall.m_routed) return false;
     const TimePoint now = BootNow();
     // Submit refuses the job.
-    if (RefuseNewJob(aCall, now)) return false;
+    if (Admit(aCall, now).m_verdict != sched::AdmissionVerdict::Admit) {
+      return false;
+    }
     m_loads[m_cellId.Value()] = sched::LoadOf(m_cell);
     const CellId target = sched::ChooseCell(m_cellId, m_loads, aCall.m_spec);
     if (target == m_cellId) return false;
@@ -151,34 +189,65 @@
   // failed.
   const auto known = m_cell.m_jobs.find(aCall.m_job);
   const bool isNew = known == m_cell.m_jobs.end();
-  auto refusal = isNew ? RefuseNewJob(aCall, now) : std::optional<Error>();
+  sched::Admission admission;
+  if (isNew) {
+    admission = Admit(aCall, now);
+    ++m_admissions[static_cast<size_t>(admission.m_verdict)];
+  }
+  if (admission.m_verdict != sched::AdmissionVerdict::Admit) {
+    RefuseNewJob(aCall, admission, now, aHandler);
+    return;
+  }
+  PeerAnswer answer;
   if (!isNew && !known->second.m_specStored && !HasAuthority(now)) {
     // A commit with this job may be under way or stored already.
-    refusal = MakeError(ErrorKind::OutcomeUnknown,
-                        "the job may be stored; the store is not available");
+    answer.m_error =
+        MakeError(ErrorKind::OutcomeUnknown,
+                  "the job may be stored; the store is not available");
+    aHandler(std::move(answer));
+    return;
   }
-  if (!refusal) {
-    auto when =
-        sched::SubmitJob(m_cell, std::move(aCall.m_spec), now, UnixNow());
-    if (when) {
-      m_log.Write("[cell]", "submit job={:016x} queue={} version={}",
-                  aCall.m_job.Value(), aCall.m_queue.Value(),
-                  when.value().m_version);
-      WaitFor(when.value(), aCall, std::move(aHandler));
-      RequestPass();
-      return;
-    }
-    refusal = when.error();
+  auto when = sched::SubmitJob(m_cell, std::move(aCall.m_spec), now, UnixNow());
+  if (!when) {
+    answer.m_error = when.error();
+    aHandler(std::move(answer));
+    return;
   }
+  m_log.Write("[cell]",
+              "submit job={:016x} queue={} version={} expected_wait_ms={}",
+              aCall.m_job.Value(), aCall.m_queue.Value(),
+              when.value().m_version, ToMillis(admission.m_expectedWait));
+  WaitFor(when.value(), aCall, std::move(aHandler));
+  RequestPass();
+}
+
+void CellOwner::RefuseNewJob(const PeerCall& aCall,
+                             const sched::Admission& aAdmission, TimePoint aNow,
+                             const AnswerHandler& aHandler) {
+  const sched::AdmissionInput input = AdmissionInputOf(aCall, aNow);
+  m_log.Write(
+      "[cell]",
+      "refuse job={:016x} reason={} window_ms={} expected_wait_ms={} "
+      "commit_ms={} try_age_ms={} commit_rows={} rows_first={} new_jobs={} "
+      "other_rows={} failure={} failing_ms={} lag_ms={} authority={}",
+      aCall.m_job.Value(), sched::VerdictName(aAdmission.m_verdict),
+      ToMillis(input.m_window), ToMillis(aAdmission.m_expectedWait),
+      ToMillis(input.m_expectedCommit),
+      input.m_tryAge ? ToMillis(*input.m_tryAge) : -1, input.m_commitRows,
+      input.m_rowsFirst, input.m_newJobsAhead, input.m_otherRows,
+      sched::FailureName(input.m_failures.m_last),
+      ToMillis(input.m_failures.m_for), ToMillis(input.m_loopLag),
+      input.m_hasAuthority);
   PeerAnswer answer;
-  answer.m_error = std::move(refusal);
+  answer.m_error = RefusalOf(aAdmission.m_verdict);
+  answer.m_retryAfter = aAdmission.m_retryAfter;
   aHandler(std::move(answer));
 }
 
 void CellOwner::Adopt(PeerCall aCall, AnswerHandler aHandler) {
   const TimePoint now = BootNow();
   PeerAnswer answer;
-  if (!HasAuthority(now) || m_lastCommitTryFailed) {
+  if (!HasAuthority(now) || m_commitFailure != sched::CommitFailure::None) {
     answer.m_error =
         MakeError(ErrorKind::StoreUnavailable, "the store is not available");
     aHandler(std::move(answer));
@@ -222,15 +291,15 @@
 
 void CellOwner::WaitFor(const sched::DurableVersion& aWhen,
                         const PeerCall& aCall, AnswerHandler aHandler) {
-  m_waiters.emplace(aWhen.m_job,
-                    Waiter{false, aWhen.m_version, BootNow() + aCall.m_window,
-                           std::move(aHandler)});
+  m_waiters.emplace(
+      aWhen.m_job,
+      Waiter{false, aWhen.m_version, DeadlineOf(aCall), std::move(aHandler)});
   AnswerWaiters();
 }
 
 void CellOwner::WaitForRoute(const PeerCall& aCall, AnswerHandler aHandler) {
-  m_waiters.emplace(aCall.m_job, Waiter{true, 0, BootNow() + aCall.m_window,
-                                        std::move(aHandler)});
+  m_waiters.emplace(aCall.m_job,
+                    Waiter{true, 0, DeadlineOf(aCall), std::move(aHandler)});
 }
 
 bool CellOwner::IsAnswered(JobId aJob, const Waiter& aWaiter,
@@ -244,21 +313,34 @@
          job->second.m_storedVersion >= aWaiter.m_version;
 }
 
-void CellOwner::RefuseUnstored(bool aCommitUnderWay) {
+std::set<JobId> CellOwner::JobsInCommit() const {
   std::set<JobId> sent;
-  if (aCommitUnderWay) {
-    for (const sched::JobWrite& write : m_commit.m_writes) {
-      sent.insert(write.m_job);
-    }
-    for (const sched::StoredRoute& route : m_commit.m_routes) {
-      sent.insert(route.m_job);
-    }
+  if (!m_commitPending) return sent;
+  for (const sched::JobWrite& write : m_commit.m_writes) {
+    sent.insert(write.m_job);
+  }
+  for (const sched::StoredRoute& route : m_commit.m_routes) {
+    sent.insert(route.m_job);
   }
+  return sent;
+}
+
+void CellOwner::RefuseUnstored() {
+  RefuseWithdrawn(sched::WithdrawUnstored(m_cell, JobsInCommit()),
+                  RefusalOf(sched::AdmissionVerdict::StoreAway));
+}
+
+void CellOwner::RefuseUnstoredIfAway(TimePoint aNow) {
+  const bool waits = !m_cell.m_newJobs.empty() || !m_cell.m_dirtyRoutes.empty();
+  if (waits && IsStoreAway(aNow)) RefuseUnstored();
+}
+
+void CellOwner::RefuseWithdrawn(const std::vector<JobId>& aJobs,
+                                const Error& aError) {
   std::vector<AnswerHandler> refused;
-  for (const JobId job : sched::WithdrawUnstored(m_cell, sent)) {
-    m_log.Write("[cell]",
-                "withdrew job that was not stored job={:016x} by=store",
-                job.Value());
+  for (const JobId job : aJobs) {
+    m_log.Write("[cell]", "withdrew job that was not stored job={:016x} by={}",
+                job.Value(), AnswerFor(aError.m_kind).m_name);
     const auto [first, last] = m_waiters.equal_range(job);
     for (auto at = first; at != last; ++at) {
       refused.push_back(std::move(at->second.m_handler));
@@ -267,8 +349,7 @@
   }
   for (const AnswerHandler& handler : refused) {
     PeerAnswer answer;
-    answer.m_error =
-        MakeError(ErrorKind::StoreUnavailable, "the store is not available");
+    answer.m_error = aError;
     handler(std::move(answer));
   }
 }
@@ -287,11 +368,43 @@
   for (auto& [handler, answer] : ready) handler(std::move(answer));
 }
 
-void CellOwner::FailWaiters(const Error& aError, bool aOnlyExpired) {
-  const TimePoint now = BootNow();
+void CellOwner::FailWaiters(const Error& aError) {
+  const auto waiters = std::move(m_waiters);
+  m_waiters.clear();
+  for (const auto& [job, waiter] : waiters) {
+    PeerAnswer answer;
+    answer.m_error = aError;
+    waiter.m_handler(std::move(answer));
+  }
+}
+
+void CellOwner::FailExpiredWaiters(TimePoint aNow) {
+  const auto isExpired = [aNow](const auto& aEntry) {
+    return aNow >= aEntry.second.m_deadline;
+  };
+  std::set<JobId> expired;
+  for (const auto& entry : m_waiters) {
+    if (isExpired(entry)) expired.insert(entry.first);
+  }
+  if (expired.empty()) return;
+  const std::set<JobId> sent = JobsInCommit();
+  std::vector<JobId> withdrawn;
+  for (const JobId job : expired) {
+    // While another caller waits for the same job, it may still run.
+    const auto [first, last] = m_waiters.equal_range(job);
+    // A job from another cell is stored there, and its owner sends it again.
+    const auto known = m_cell.m_jobs.find(job);
+    const bool cameFromCell =
+        known != m_cell.m_jobs.end() && known->second.m_moveCount > 0;
+    if (std::all_of(first, last, isExpired) && sent.count(job) == 0 &&
+        !cameFromCell && sched::WithdrawJob(m_cell, job)) {
+      withdrawn.push_back(job);
+    }
+  }
+  RefuseWithdrawn(withdrawn, RefusalOf(sched::AdmissionVerdict::TooLate));
   std::vector<AnswerHandler> failed;
   for (auto at = m_waiters.begin(); at != m_waiters.end();) {
-    if (aOnlyExpired && now < at->second.m_deadline) {
+    if (!isExpired(*at)) {
       ++at;
       continue;
     }
@@ -300,7 +413,9 @@
   }
   for (const AnswerHandler& handler : failed) {
     PeerAnswer answer;
-    answer.m_error = aError;
+    answer.m_error =
+        MakeError(ErrorKind::Timeout,
+                  "the change was not stored before the caller's deadline");
     handler(std::move(answer));
   }
 }
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -24,8 +24,6 @@
 /** How long a job is left out whose rows the store does not accept. */
 constexpr Duration kRejectedRetry = seconds(30);
 constexpr int kLastHeartbeatTries = 3;
-/** Weight of the newest commit in the mean time of commits. */
-constexpr double kCommitTimeWeight = 0.1;
 /** Shorter than for later tries, as the pooled connection that the first try
  *  uses may no longer respond. */
 constexpr Duration kFirstTimeout = milliseconds(900);
@@ -39,6 +37,19 @@
                      aKey.m_firstTask);
 }
 
+sched::CommitFailure FailureOf(const TransactionResult& aResult) {
+  switch (aResult.m_outcome) {
+    case StoreOutcome::Unknown:
+    case StoreOutcome::Malformed:
+      return sched::CommitFailure::Unanswered;
+    case StoreOutcome::Refused:
+      return aResult.m_overloaded ? sched::CommitFailure::Overloaded
+                                  : sched::CommitFailure::Unavailable;
+    default:
+      return sched::CommitFailure::Unavailable;
+  }
+}
+
 }  // namespace
 
 void CellOwner::StartCommit() {
@@ -154,20 +165,25 @@
     LoseCell("another daemon has rewritten the owner row");
     return;
   }
-  m_lastCommitTryFailed = true;
+  if (m_commitFailure == sched::CommitFailure::None) {
+    m_commitFailingSince = m_commitSentAt;
+  }
+  m_commitFailure = FailureOf(aResult);
   // The store judges the content of each try alike, so a rejection tells that
   // the unanswered tries before it have written nothing either.
   if (aResult.m_outcome == StoreOutcome::Rejected) {
     AbandonCommit();
+    RefuseUnstored();
     NarrowCommits();
     return;
   }
   if (aResult.m_outcome == StoreOutcome::Refused && !m_commitOutcomeUnknown) {
     AbandonCommit();
+    RefuseUnstoredIfAway(BootNow());
     return;
   }
   if (aResult.m_outcome != StoreOutcome::Refused) m_commitOutcomeUnknown = true;
-  RefuseUnstored(true);
+  RefuseUnstoredIfAway(BootNow());
   m_commitTimer.expires_after(m_commitTries == 1 ? Duration(1) : kRetryPause);
   m_commitTimer.async_wait(
       [self = shared_from_this()](boost::system::error_code aError) {
@@ -182,7 +198,6 @@
   m_ownerRow.m_vm = m_vm;
   m_releaseSent = false;
   m_commitNotBefore = BootNow() + kRetryPause;
-  RefuseUnstored(false);
 }
 
 void CellOwner::NarrowCommits() {
@@ -209,18 +224,17 @@
   m_commitRows = std::min(m_commitRows * 2, kMaxRowsPerCommit);
   m_ownerVersion = aVersion;
   m_lastCommitSentAt = m_commitSentAt;
-  const Duration took = BootNow() - m_commitBegunAt;
-  Record(m_commitTimes, took);
-  m_meanCommitTime += Duration(static_cast<int64_t>(
-      static_cast<double>((took - m_meanCommitTime).count()) *
-      kCommitTimeWeight));
-  if (m_lastCommitTryFailed) {
+  const TimePoint now = BootNow();
+  Record(m_commitTimes, now - m_commitBegunAt);
+  // Only the last try tells how quickly the store answers now.
+  sched::RecordCommit(m_recentCommits, now - m_commitSentAt);
+  if (m_commitFailure != sched::CommitFailure::None) {
     m_log.Write("[store]", "commits succeed again cell={} tries={}",
                 m_cellId.Value(), m_commitTries);
   }
-  m_lastCommitTryFailed = false;
+  m_commitFailure = sched::CommitFailure::None;
   m_cell.m_newestFence = FencingToken(aVersion.Value());
-  sched::ApplyCommitted(m_cell, m_commit, BootNow());
+  sched::ApplyCommitted(m_cell, m_commit, now);
   AnswerWaiters();
   if (m_ownerRow.m_vm.empty()) {
     auto done = std::move(m_onReleased);
@@ -254,8 +268,7 @@
   m_commitTimer.cancel();
   if (m_runnerWatch) m_runnerWatch->Stop();
   FailWaiters(MakeError(ErrorKind::OutcomeUnknown,
-                        "this daemon no longer owns the cell"),
-              false);
+                        "this daemon no longer owns the cell"));
 }
 
 void CellOwner::LoseCell(std::string_view aReason) {
--- a/src/scheduler/entry_calls.cpp
+++ b/src/scheduler/entry_calls.cpp
@@ -22,8 +22,9 @@
 /** Pause before a call goes to another owner than the one that refused it; the
  *  directory is read again meanwhile. */
 constexpr Duration kRetryPause = milliseconds(130);
-/** A call to an owner that gets no answer within this time is repeated, at its
- *  successor if there is one by then. */
+/** A call to an owner that gets no answer within this time is repeated at its
+ *  successor as soon as there is one. Until then its answer may still come: an
+ *  owner answers late while the store is slow. */
 constexpr Duration kAttemptTimeout = milliseconds(1300);
 /** A shorter rest of the caller's window is not worth another attempt. */
 constexpr Duration kMinAttempt = milliseconds(150);
@@ -148,14 +149,45 @@
     }
     return;
   }
-  PeerCall sent = aCall.m_call;
-  sent.m_window = std::min(sent.m_window, Duration(kAttemptTimeout));
-  Forward(*address, std::move(sent),
-          [this, call = std::move(aCall), address = *address,
-           begunAt](PeerAnswer aAnswer) mutable {
-            call.m_call.m_window -= BootNow() - begunAt;
-            OnAttempt(std::move(call), address, std::move(aAnswer));
+  const auto attempt = std::make_shared<RemoteAttempt>(
+      m_context, std::move(aCall), *address, begunAt);
+  Forward(*address, attempt->m_call.m_call,
+          [this, attempt](PeerAnswer aAnswer) mutable {
+            EndAttempt(*attempt, std::move(aAnswer));
           });
+  AwaitSuccessor(attempt, kAttemptTimeout);
+}
+
+void EntryNode::EndAttempt(RemoteAttempt& aAttempt, PeerAnswer aAnswer) {
+  if (aAttempt.m_ended) return;
+  aAttempt.m_ended = true;
+  aAttempt.m_timer.cancel();
+  aAttempt.m_call.m_call.m_window -= BootNow() - aAttempt.m_begunAt;
+  OnAttempt(std::move(aAttempt.m_call), aAttempt.m_address, std::move(aAnswer));
+}
+
+void EntryNode::AwaitSuccessor(const std::shared_ptr<RemoteAttempt>& aAttempt,
+                               Duration aPause) {
+  aAttempt->m_timer.expires_after(aPause);
+  aAttempt->m_timer.async_wait(
+      [this, attempt = aAttempt](boost::system::error_code aError) {
+        if (aError || attempt->m_ended) return;
+        if (HasOtherOwner(attempt->m_call.m_call.m_cell, attempt->m_address)) {
+          PeerAnswer answer;
+          answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
+                                     "the owner of the cell did not answer");
+          EndAttempt(*attempt, std::move(answer));
+          return;
+        }
+        m_directory.Refresh();
+        AwaitSuccessor(attempt, kRetryPause);
+      });
+}
+
+bool EntryNode::HasOtherOwner(CellId aCell, const std::string& aTried) const {
+  const auto address = m_directory.AddressOf(aCell);
+  return m_elections[aCell.Value()]->LocalOwner() ||
+         (address && *address != aTried);
 }
 
 void EntryNode::OnAttempt(OwnerCall aCall, const std::string& aTried,
@@ -246,8 +278,7 @@
         call.m_call.m_window -= kRetryPause;
         const CellId cell = call.m_call.m_cell;
         const auto address = m_directory.AddressOf(cell);
-        const bool otherOwner = m_elections[cell.Value()]->LocalOwner() ||
-                                (address && *address != tried);
+        const bool otherOwner = HasOtherOwner(cell, tried);
         const bool answers = last.m_error->m_kind != ErrorKind::OutcomeUnknown;
         const bool mustKnow = call.m_fate.m_mayBeDone || !answers;
         const bool hasTime = call.m_call.m_window > kMinAttempt;
@@ -362,7 +393,10 @@
     m_log.Write("[callers]", "{} job={:016x} queue={} error={} text={}", verb,
                 aRequest.m_job.Value(), aRequest.m_queue.Value(), name,
                 aAnswer.m_error->m_message);
-    aResponder->Reply(RefusalReply(*aAnswer.m_error, kRetryAfter));
+    aResponder->Reply(
+        RefusalReply(*aAnswer.m_error, aAnswer.m_retryAfter > Duration::zero()
+                                           ? aAnswer.m_retryAfter
+                                           : Duration(kRetryAfter)));
     m_log.Flush();
     return;
   }
--- a/src/scheduler/entry_metrics.cpp
+++ b/src/scheduler/entry_metrics.cpp
@@ -110,6 +110,15 @@
                 static_cast<uint64_t>(owner->LoopLag().count()));
     AppendCount(text, fmt::format("commits_rejected_total{{{}}}", label),
                 owner->RejectedCommits());
+    const auto& admissions = owner->Admissions();
+    for (size_t verdict = 0; verdict < admissions.size(); ++verdict) {
+      const auto name =
+          sched::VerdictName(static_cast<sched::AdmissionVerdict>(verdict));
+      AppendCount(
+          text,
+          fmt::format("admissions_total{{{},verdict=\"{}\"}}", label, name),
+          admissions[verdict]);
+    }
     AppendPrometheus(owner->CommitTimes(), "bronze_commit_seconds", label,
                      text);
   }
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -76,6 +76,22 @@
     AnswerHandler m_handler;
   };
 
+  /** A call on its way to an owner on another VM. */
+  struct RemoteAttempt {
+    RemoteAttempt(boost::asio::io_context& aContext, OwnerCall aCall,
+                  std::string aAddress, TimePoint aBegunAt)
+        : m_call(std::move(aCall)),
+          m_address(std::move(aAddress)),
+          m_begunAt(aBegunAt),
+          m_timer(aContext) {}
+    OwnerCall m_call;
+    std::string m_address;
+    TimePoint m_begunAt;
+    boost::asio::steady_timer m_timer;  ///< Next look for another owner.
+    /** Answered, or given up for another owner: a later answer is ignored. */
+    bool m_ended = false;
+  };
+
   /** Called on the traffic thread. */
   void OnConfigRow(const StoreRow& aRow);
   void ApplyConfig(std::shared_ptr<const sched::LiveConfig> aConfig);
@@ -88,6 +104,12 @@
   void CallOwner(PeerCall aCall, AnswerHandler aHandler);
   /** Calls the owner of the cell, in this process or on another VM. */
   void Attempt(OwnerCall aCall);
+  void EndAttempt(RemoteAttempt& aAttempt, PeerAnswer aAnswer);
+  /** Looks for another owner after aPause, and from then on at intervals. */
+  void AwaitSuccessor(const std::shared_ptr<RemoteAttempt>& aAttempt,
+                      Duration aPause);
+  [[nodiscard]] bool HasOtherOwner(CellId aCell,
+                                   const std::string& aTried) const;
   /** @param aTried address of the owner that was called. */
   void OnAttempt(OwnerCall aCall, const std::string& aTried,
                  PeerAnswer aAnswer);
