sched: a quick store that answers 429 turns this VM away

Cause: new jobs waited 250 ms and two commits on a store that refused calls for overload. In a quick store that changes what callers are told: with two of 30 calls refused, none was refused in StoreAndRunnersThatAnswerTwiceKeepAllAnswers, which requires some.

Change: the time in which such refusals count as a queue of the store is two of its recent commits.

--- a/src/core/sched/admission_func.cpp
+++ b/src/core/sched/admission_func.cpp
@@ -17,9 +17,10 @@
 /** A store that answers within this many times the expected duration is slow;
  *  one that is silent for longer is away. */
 constexpr int64_t kMaxSlowdown = 3;
-/** Calls refused for overload for longer than this, and two commits, are not a
- *  short burst: the store turns this VM away. */
-constexpr Duration kOverloadGrace = milliseconds(250);
+/** A slow store refuses calls while others wait, and accepts them once these
+ *  have ended. One that refuses for longer than this many commits, thus at once
+ *  if it is quick, turns this VM away. */
+constexpr int64_t kOverloadedCommits = 2;
 /** Sent with refusals if nothing is known of when the cause ends. */
 constexpr Duration kUnknownEnd = seconds(1);
 constexpr Duration kMaxRetryAfter = seconds(5);
@@ -66,7 +67,7 @@
     case CommitFailure::None:
       return false;
     case CommitFailure::Overloaded:
-      return aFailures.m_for > kOverloadGrace + 2 * aExpectedCommit;
+      return aFailures.m_for > kOverloadedCommits * aExpectedCommit;
     case CommitFailure::Unanswered:
       return aFailures.m_for > kMaxSlowdown * aExpectedCommit;
     case CommitFailure::Unavailable:
--- a/tests/core/sched/admission_test.cpp
+++ b/tests/core/sched/admission_test.cpp
@@ -108,17 +108,17 @@
   BOOST_TEST((VerdictOn(input) == AdmissionVerdict::StoreAway));
 }
 
-/** Guards against refusals for one call too many, and against callers who wait
- *  on a store that refuses all calls. */
+/** Guards against refusals for one call too many in a slow store, and against
+ *  callers who wait on a store that refuses all calls. */
 BOOST_AUTO_TEST_CASE(RefusedTriesAreToldApart) {
   AdmissionInput input = InputAt(kUsualCommit);
   input.m_failures = {CommitFailure::Overloaded, milliseconds(100)};
   input.m_commitPause = milliseconds(100);
-  BOOST_TEST((VerdictOn(input) == AdmissionVerdict::Admit));
-  input.m_failures.m_for = milliseconds(300);
   BOOST_TEST((VerdictOn(input) == AdmissionVerdict::StoreAway));
   input.m_expectedCommit = milliseconds(400);
   BOOST_TEST((VerdictOn(input) == AdmissionVerdict::Admit));
+  input.m_failures.m_for = milliseconds(801);
+  BOOST_TEST((VerdictOn(input) == AdmissionVerdict::StoreAway));
   input.m_failures = {CommitFailure::Unavailable, milliseconds(1)};
   BOOST_TEST((VerdictOn(input) == AdmissionVerdict::StoreAway));
   input = InputAt(kUsualCommit);
--- a/tests/scheduler/slow_store_test.cpp
+++ b/tests/scheduler/slow_store_test.cpp
@@ -44,6 +44,7 @@
           at == 0 ? "" : fmt::format(R"(,"after":[{}])", at - 1));
     }
     std::vector<std::future<HttpReply>> replies;
+    replies.reserve(kChains);
     for (int at = 0; at < kChains; ++at) {
       replies.push_back(
           std::async(std::launch::async, [this, &aNode, &steps, at] {
@@ -59,6 +60,7 @@
   std::map<std::string, int> SubmitMany(
       const std::vector<RunningNode*>& aNodes) {
     std::vector<std::future<HttpReply>> replies;
+    replies.reserve(kCalls);
     for (int at = 0; at < kCalls; ++at) {
       replies.push_back(BeginSubmit(*aNodes[at % aNodes.size()], JobName(at)));
       std::this_thread::sleep_for(kCallPause);
