tests: a job that was not sent by its caller's deadline is refused

Guards against an unknown outcome for a job that never reached the store, and against a refusal of one that did.

--- a/tests/scheduler/node_fixture.h
+++ b/tests/scheduler/node_fixture.h
@@ -184,11 +184,13 @@
   /** Sends one request as a caller. @return the reply; status 0 if there is
    *  none. */
   HttpReply Call(const RunningNode& aNode, const std::string& aMethod,
-                 const std::string& aPath, const std::string& aBody = "") {
+                 const std::string& aPath, const std::string& aBody = "",
+                 milliseconds aWindow = milliseconds(3000)) {
     HttpCall call;
     call.m_method = aMethod;
     call.m_target = aPath;
-    call.m_headers = {{"Host", "h.example"}, {"X-Deadline-Ms", "3000"}};
+    call.m_headers = {{"Host", "h.example"},
+                      {"X-Deadline-Ms", std::to_string(aWindow.count())}};
     call.m_body = aBody;
     auto reply = std::make_shared<std::promise<HttpReply>>();
     boost::asio::post(
--- a/tests/scheduler/slow_store_test.cpp
+++ b/tests/scheduler/slow_store_test.cpp
@@ -113,6 +113,49 @@
              std::string::npos);
 }
 
+/** Guards against an unknown outcome for a job that was never sent to the
+ * store, and against a refusal of one that was: both callers' deadlines come
+ * while the store works on the first job. */
+BOOST_AUTO_TEST_CASE(DeadlineSettlesOnlyJobsThatWereNotSent) {
+  constexpr milliseconds kShortWindow(600);
+  const std::string body =
+      R"({"spec":"s","steps":[{"count":1,"cpu":50,"mem_mb":10}]})";
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, "00000000000000a1"));
+  standin::RowStoreFaults faults;
+  faults.m_commitDelay = seconds(5);
+  std::string sent;
+  std::string unsent;
+  HttpReply refused;
+  int attempt = 0;
+  // Repeated if another commit was under way, so that the first job was not
+  // sent either.
+  BOOST_REQUIRE(Eventually([&] {
+    sent = fmt::format("{:016x}", 0xb100 + attempt);
+    unsent = fmt::format("{:016x}", 0xb200 + attempt);
+    ++attempt;
+    m_store.SetFaults(faults);
+    auto first = std::async(std::launch::async, [&] {
+      return Call(node, "POST", "/queue/" + sent, body, kShortWindow);
+    });
+    while (m_store.Value("job", "c0", sent).empty() &&
+           first.wait_for(milliseconds(5)) != std::future_status::ready) {
+    }
+    refused = Call(node, "POST", "/queue/" + unsent, body, kShortWindow);
+    const bool wasSent = first.get().m_status == 504;
+    m_store.SetFaults({});
+    if (!wasSent) {
+      const std::string next = fmt::format("{:016x}", 0xb300 + attempt);
+      BOOST_TEST(SubmitUntilAccepted(node, next));
+    }
+    return wasSent;
+  }));
+  BOOST_TEST(refused.m_status == 503);
+  BOOST_TEST(m_store.Value("job", "c0", unsent).empty());
+  BOOST_TEST(BecomesCompleted(node, sent));
+  BOOST_TEST(Call(node, "GET", "/queue/" + unsent).m_status == 410);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
