scheduler: time-outs and admission follow a store of 0.9 s a transaction

First tries of commits timed out after 0.9 s and were repeated behind themselves; heartbeats timed out too, so that the owner had no authority while its commits succeeded.

Change: the time-outs of heartbeats and of first tries are twice the expected commit, from 0.9 s up to 1.5 s and 2 s. A recent commit admits jobs as authority does. A time-out counts as silence only if the store has answered no other call lately. The expected time is the longer of two commits.

The whole scheduler_store_test and the property tests were not run on this commit yet.

--- a/src/core/sched/admission_func.cpp
+++ b/src/core/sched/admission_func.cpp
@@ -17,6 +17,8 @@
 /** A store that answers within this many times the expected duration is slow;
  *  one that is silent for longer is away. */
 constexpr int64_t kMaxSlowdown = 3;
+/** The same for a store that answers other calls, at least. */
+constexpr Duration kMaxSilenceOfOne = milliseconds(1800);
 /** A slow store refuses calls while others wait, and accepts them once these
  *  have ended. One that refuses for longer than this many commits, thus at once
  *  if it is quick, turns this VM away. */
@@ -62,6 +64,12 @@
   return *std::max_element(aRecent.m_times.begin(), aRecent.m_times.end());
 }
 
+Duration FirstTimeout(Duration aExpectedCommit, Duration aUsual,
+                      Duration aMax) {
+  constexpr int64_t kMargin = 2;
+  return std::clamp(kMargin * aExpectedCommit, aUsual, aMax);
+}
+
 bool IsStoreAway(const CommitFailures& aFailures, Duration aExpectedCommit) {
   switch (aFailures.m_last) {
     case CommitFailure::None:
@@ -69,7 +77,10 @@
     case CommitFailure::Overloaded:
       return aFailures.m_for > kOverloadedCommits * aExpectedCommit;
     case CommitFailure::Unanswered:
-      return aFailures.m_for > kMaxSlowdown * aExpectedCommit;
+      return aFailures.m_for >
+             std::max<Duration>(
+                 kMaxSlowdown * aExpectedCommit,
+                 aFailures.m_answersOthers ? kMaxSilenceOfOne : Duration());
     case CommitFailure::Unavailable:
       return true;
   }
@@ -79,7 +90,7 @@
 Admission DecideAdmission(const AdmissionInput& aInput) {
   Admission admission;
   admission.m_expectedWait = ExpectedWait(aInput);
-  if (!aInput.m_hasAuthority ||
+  if (!aInput.m_reachesStore ||
       IsStoreAway(aInput.m_failures, aInput.m_expectedCommit)) {
     admission.m_verdict = AdmissionVerdict::StoreAway;
     admission.m_retryAfter = kUnknownEnd;
--- a/src/core/sched/admission_func.h
+++ b/src/core/sched/admission_func.h
@@ -29,7 +29,7 @@
 
 /** Durations of the last commits, each from its last try to its answer. */
 struct RecentCommits {
-  std::array<Duration, 4> m_times{};
+  std::array<Duration, 2> m_times{};
   size_t m_next = 0;  ///< Index of the oldest one.
 };
 
@@ -43,16 +43,26 @@
 struct CommitFailures {
   CommitFailure m_last = CommitFailure::None;
   Duration m_for{};  ///< Since the first failed try was sent.
+  /** The store has answered other calls meanwhile. */
+  bool m_answersOthers = false;
 };
 
+/** @return how long to wait for the first answer to a call of a store that
+ *          takes aExpectedCommit for a transaction: aUsual if it is quick, and
+ *          at most aMax. A call that is repeated too early has to wait behind
+ *          its first try. */
+[[nodiscard]] Duration FirstTimeout(Duration aExpectedCommit, Duration aUsual,
+                                    Duration aMax);
+
 /** Whether the failures mean that the store is away, rather than slow. */
 [[nodiscard]] bool IsStoreAway(const CommitFailures& aFailures,
                                Duration aExpectedCommit);
 
 struct AdmissionInput {
-  bool m_hasAuthority = false;  ///< The owner may still schedule the cell.
-  Duration m_loopLag{};         ///< How late the control loop is.
-  Duration m_window{};          ///< Time until the caller's deadline.
+  /** A heartbeat or a commit was acknowledged recently. */
+  bool m_reachesStore = false;
+  Duration m_loopLag{};  ///< How late the control loop is.
+  Duration m_window{};   ///< Time until the caller's deadline.
   Duration m_expectedCommit{};
   Duration m_commitPause{};  ///< Time until the next commit may begin.
   /** Age of the last try of the commit in flight; not set: there is none. */
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -204,8 +204,10 @@
       m_address, aCall, aTimeout,
       [this, handler = std::move(aHandler)](CallOutcome aOutcome) {
         if (aOutcome.m_stage != CallStage::CompleteReply ||
-            aOutcome.m_reply.m_status >= 429) {
+            aOutcome.m_reply.m_status >= kTooManyCalls) {
           ++m_failures;
+        } else {
+          m_answeredAt = m_clock();
         }
         handler(std::move(aOutcome));
       },
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -111,6 +111,9 @@
   [[nodiscard]] std::optional<TimePoint> LocalTimeUpperBound(
       StoreMillis aTime) const;
 
+  /** @return when the store last answered a call without refusing it; read on
+   *          the thread of the calls. */
+  [[nodiscard]] TimePoint AnsweredAt() const { return m_answeredAt; }
   [[nodiscard]] uint64_t Calls() const { return m_calls; }
   [[nodiscard]] uint64_t Failures() const { return m_failures; }
   [[nodiscard]] uint64_t MismatchedReplies() const {
@@ -137,6 +140,7 @@
   HttpClient m_client;
   std::function<TimePoint()> m_clock;
   std::optional<ClockReading> m_reading;  ///< From a recent answer.
+  TimePoint m_answeredAt;
   // Read by the thread that serves metrics.
   std::atomic<uint64_t> m_calls = 0;
   std::atomic<uint64_t> m_failures = 0;
--- a/src/scheduler/cell_owner_calls.cpp
+++ b/src/scheduler/cell_owner_calls.cpp
@@ -10,6 +10,7 @@
 #include "core/sched/route_cmd.h"
 #include "scheduler/boot_clock.h"
 #include "scheduler/cell_owner.h"
+#include "scheduler/owner_timing.h"
 
 namespace bronze {
 
@@ -105,7 +106,11 @@
 
 sched::CommitFailures CellOwner::Failures(TimePoint aNow) const {
   if (m_commitFailure == sched::CommitFailure::None) return {};
-  return {m_commitFailure, aNow - m_commitFailingSince};
+  const Duration failingFor = aNow - m_commitFailingSince;
+  // Earlier answers do not tell that the store is not silent now.
+  const bool answersOthers =
+      m_store.AnsweredAt() > m_commitFailingSince + failingFor / 2;
+  return {m_commitFailure, failingFor, answersOthers};
 }
 
 bool CellOwner::IsStoreAway(TimePoint aNow) const {
@@ -116,7 +121,9 @@
 sched::AdmissionInput CellOwner::AdmissionInputOf(const PeerCall& aCall,
                                                   TimePoint aNow) const {
   sched::AdmissionInput input;
-  input.m_hasAuthority = HasAuthority(aNow);
+  // A commit proves the ownership, also while heartbeats come too late.
+  input.m_reachesStore =
+      HasAuthority(aNow) || aNow - m_lastCommitSentAt < kOwnerTimeout;
   input.m_loopLag = m_loopLag;
   input.m_window = aCall.m_window;
   input.m_expectedCommit = sched::ExpectedCommitTime(m_recentCommits);
@@ -229,15 +236,16 @@
       "[cell]",
       "refuse job={:016x} reason={} window_ms={} expected_wait_ms={} "
       "commit_ms={} try_age_ms={} commit_rows={} rows_first={} new_jobs={} "
-      "other_rows={} failure={} failing_ms={} lag_ms={} authority={}",
+      "other_rows={} failure={} failing_ms={} answers_others={} lag_ms={} "
+      "reaches_store={}",
       aCall.m_job.Value(), sched::VerdictName(aAdmission.m_verdict),
       ToMillis(input.m_window), ToMillis(aAdmission.m_expectedWait),
       ToMillis(input.m_expectedCommit),
       input.m_tryAge ? ToMillis(*input.m_tryAge) : -1, input.m_commitRows,
       input.m_rowsFirst, input.m_newJobsAhead, input.m_otherRows,
       sched::FailureName(input.m_failures.m_last),
-      ToMillis(input.m_failures.m_for), ToMillis(input.m_loopLag),
-      input.m_hasAuthority);
+      ToMillis(input.m_failures.m_for), input.m_failures.m_answersOthers,
+      ToMillis(input.m_loopLag), input.m_reachesStore);
   PeerAnswer answer;
   answer.m_error = RefusalOf(aAdmission.m_verdict);
   answer.m_retryAfter = aAdmission.m_retryAfter;
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -134,7 +134,9 @@
 
 void CellOwner::SendCommit() {
   m_commitSentAt = BootNow();
-  const Duration timeout = m_commitTries++ == 0 ? kFirstTimeout : kRetryTimeout;
+  const Duration first = sched::FirstTimeout(
+      sched::ExpectedCommitTime(m_recentCommits), kFirstTimeout, kRetryTimeout);
+  const Duration timeout = m_commitTries++ == 0 ? first : kRetryTimeout;
   m_store.Transact(m_transaction, timeout,
                    [self = shared_from_this()](TransactionResult aResult) {
                      self->OnCommitted(std::move(aResult));
--- a/src/scheduler/cell_owner_heartbeat.cpp
+++ b/src/scheduler/cell_owner_heartbeat.cpp
@@ -18,6 +18,10 @@
 namespace {
 
 constexpr Duration kHeartbeatTimeout = milliseconds(900);
+/** The same in a slow store. A later answer leaves little of the authority that
+ *  it gives. */
+constexpr Duration kMaxHeartbeatTimeout = milliseconds(1500);
+static_assert(kMaxHeartbeatTimeout < kAuthorityDuration);
 constexpr Duration kRetryPause = milliseconds(100);
 
 RowKey HeartbeatKey(CellId aCell) {
@@ -54,7 +58,8 @@
   m_nextHeartbeatAt = aNow + kOwnerHeartbeatInterval;
   m_store.Transact(
       HeartbeatTransaction(m_cellId, m_heartbeatVersion, row),
-      kHeartbeatTimeout,
+      sched::FirstTimeout(sched::ExpectedCommitTime(m_recentCommits),
+                          kHeartbeatTimeout, kMaxHeartbeatTimeout),
       [self = shared_from_this(), aNow](const TransactionResult& aResult) {
         self->OnHeartbeat(aNow, aResult);
       });
