--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -21,6 +21,7 @@
 namespace base64 = boost::beast::detail::base64;
 namespace json = boost::json;
 
+constexpr int kTooManyCalls = 429;
 /** Commits, reads and waits for changes run in parallel. */
 constexpr size_t kIdleConnections = 6;
 /** The store sends at most 1 MB of rows in one answer; base64 adds a third. */
@@ -111,7 +112,7 @@
     case 403:
     case 404:
       return StoreOutcome::Rejected;
-    case 429:
+    case kTooManyCalls:
     case 503:
     case 507:
       return StoreOutcome::Refused;
@@ -215,8 +216,10 @@
       m_address, aCall, aTimeout,
       [this, handler = std::move(aHandler)](CallOutcome aOutcome) {
         if (aOutcome.m_stage != CallStage::CompleteReply ||
-            aOutcome.m_reply.m_status >= 429) {
+            aOutcome.m_reply.m_status >= kTooManyCalls) {
           ++m_failures;
+        } else {
+          m_answeredAt = m_clock();
         }
         handler(std::move(aOutcome));
       },
@@ -243,8 +246,9 @@
          }
          UpdateClockReading(rows, askedAt);
          const bool answered = aOutcome.m_stage == CallStage::CompleteReply;
+         const int status = answered ? aOutcome.m_reply.m_status : 0;
          handler({rows.m_outcome, rows.m_version, std::move(rows.m_rows),
-                  answered ? aOutcome.m_reply.m_status : 0, aOutcome.m_origin});
+                  status == kTooManyCalls, status, aOutcome.m_origin});
        });
 }
 
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -63,8 +63,10 @@
   StoreOutcome m_outcome = StoreOutcome::Unknown;
   RowVersion m_version;             ///< Version of the rows written.
   std::vector<StoreRow> m_current;  ///< With Conflict: current m_expected rows.
-  int m_status = 0;                 ///< For the log; 0: no answer.
-  ReplyOrigin m_origin;             ///< For the log.
+  /** With Refused: the store had too many calls. */
+  bool m_overloaded = false;
+  int m_status = 0;      ///< For the log; 0: no answer.
+  ReplyOrigin m_origin;  ///< For the log.
 };
 
 struct RowsResult {
@@ -114,6 +116,9 @@
   [[nodiscard]] std::optional<TimePoint> LocalTimeUpperBound(
       StoreMillis aTime) const;
 
+  /** @return when the store last answered a call without refusing it; read on
+   *          the thread of the calls. */
+  [[nodiscard]] TimePoint AnsweredAt() const { return m_answeredAt; }
   [[nodiscard]] uint64_t Calls() const { return m_calls; }
   [[nodiscard]] uint64_t Failures() const { return m_failures; }
   [[nodiscard]] uint64_t MismatchedReplies() const {
@@ -140,6 +145,7 @@
   HttpClient m_client;
   std::function<TimePoint()> m_clock;
   std::optional<ClockReading> m_reading;  ///< From a recent answer.
+  TimePoint m_answeredAt;
   // Read by the thread that serves metrics.
   std::atomic<uint64_t> m_calls = 0;
   std::atomic<uint64_t> m_failures = 0;
