--- a/src/scheduler/cell_owner_handover.cpp
+++ b/src/scheduler/cell_owner_handover.cpp
@@ -34,7 +34,8 @@
   if (IsScheduling()) view.m_schedulingSince = m_schedulingSince;
   view.m_isReleasing = static_cast<bool>(m_onReleased);
   view.m_wasHandedOver = m_previousRow.m_successor == m_vm;
-  view.m_storeResponds = HasAuthority(aNow) && !m_lastCommitTryFailed &&
+  view.m_storeResponds = HasAuthority(aNow) &&
+                         m_commitFailure == sched::CommitFailure::None &&
                          aNow - m_lastCommitSentAt < kMaxCommitAge;
   view.m_lostBy = VmId(m_previousRow.m_vm);
   view.m_lostByIncarnation = Incarnation(m_previousRow.m_incarnation);
