--- a/src/codec/peer_call_cbor.cpp
+++ b/src/codec/peer_call_cbor.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "codec/bounded_json.h"
@@ -29,8 +30,10 @@
 constexpr size_t kRouted = 6;
 constexpr size_t kState = 7;
 constexpr size_t kHandover = 6;  ///< Of HandOver only.
-/** Position in the array of an error. */
+/** Positions in the array of an answer with an error. */
 constexpr size_t kHandedOver = 2;
+constexpr size_t kRetryAfter = 3;
+constexpr Duration kMaxRetryAfter = seconds(60);
 
 std::string_view BytesOf(const Json& aJson) {
   const auto& bytes = aJson.get_binary();
@@ -118,7 +121,11 @@
     Json refusal =
         Json::array({std::string(AnswerFor(aAnswer.m_error->m_kind).m_name),
                      aAnswer.m_error->m_message});
-    if (aAnswer.m_handedOver) refusal.push_back(true);
+    const bool hasRetryAfter = aAnswer.m_retryAfter > Duration::zero();
+    if (aAnswer.m_handedOver || hasRetryAfter) {
+      refusal.push_back(aAnswer.m_handedOver);
+    }
+    if (hasRetryAfter) refusal.push_back(aAnswer.m_retryAfter.count());
     return ToBytes(refusal);
   }
   Json answer =
@@ -139,6 +146,10 @@
           MakeError(ErrorKindFromName(name), json.at(1).get<std::string>());
       answer.m_handedOver =
           json.size() > kHandedOver && json.at(kHandedOver).get<bool>();
+      if (json.size() > kRetryAfter) {
+        answer.m_retryAfter = Duration(std::clamp<int64_t>(
+            json.at(kRetryAfter).get<int64_t>(), 0, kMaxRetryAfter.count()));
+      }
       return answer;
     }
     const int state = json.at(1).get<int>();
