scheduler: a call on a silent connection to an owner is repeated

Change: after 1.3 s without an answer the call is sent once more on a new connection; whichever answer comes first counts. After that, a refusal says that the outcome is unknown, as the first call may still be carried out.

Result: SilentConnectionToTheOwnerIsReplaced fails without the change (504, one call) and passes with it; EntryCallsSuite passes.

--- a/src/scheduler/entry_calls.cpp
+++ b/src/scheduler/entry_calls.cpp
@@ -23,9 +23,9 @@
 /** Pause before a call goes to another owner than the one that refused it; the
  *  directory is read again meanwhile. */
 constexpr Duration kRetryPause = milliseconds(130);
-/** A call to an owner that gets no answer within this time is repeated at its
- *  successor as soon as there is one. Until then its answer may still come: an
- *  owner answers late while the store is slow. */
+/** A call to an owner that gets no answer within this time is repeated once on
+ * a new connection, and at its successor as soon as there is one. The first
+ *  answer may still come: an owner answers late while the store is slow. */
 constexpr Duration kAttemptTimeout = milliseconds(1300);
 /** Longest wait of one call for the successor of an owner that has handed its
  *  cell over; the successor loads the cell meanwhile. */
@@ -72,6 +72,35 @@
   return reply;
 }
 
+HttpCall PeerHttpCall(const PeerCall& aCall) {
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_target = kPeerPath;
+  call.m_headers = {{"Content-Type", "application/cbor"}};
+  call.m_body = EncodePeerCall(aCall);
+  return call;
+}
+
+PeerAnswer AnswerOf(const CallOutcome& aOutcome) {
+  PeerAnswer answer;
+  if (aOutcome.m_stage == CallStage::NotConnected) {
+    // Nothing was sent, so nothing was accepted.
+    answer.m_error = MakeError(ErrorKind::NotReady,
+                               "cannot connect to the owner of the cell");
+    return answer;
+  }
+  if (aOutcome.m_stage != CallStage::CompleteReply) {
+    answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
+                               "the owner of the cell did not answer");
+    return answer;
+  }
+  auto decoded = DecodePeerAnswer(aOutcome.m_reply.m_body);
+  if (decoded) return std::move(decoded.value());
+  answer.m_error =
+      MakeError(ErrorKind::OutcomeUnknown, decoded.error().m_message);
+  return answer;
+}
+
 Error NoMemoryError() {
   return MakeError(ErrorKind::Overloaded,
                    "the memory for calls in progress is used up");
@@ -196,20 +225,44 @@
 
 void EntryNode::AwaitSuccessor(const std::shared_ptr<RemoteAttempt>& aAttempt,
                                Duration aPause) {
+  const bool isFirst = aPause == kAttemptTimeout;
   aAttempt->m_timer.expires_after(aPause);
-  aAttempt->m_timer.async_wait(
-      [this, attempt = aAttempt](boost::system::error_code aError) {
-        if (aError || attempt->m_ended) return;
-        if (HasOtherOwner(attempt->m_call.m_call.m_cell, attempt->m_address)) {
-          PeerAnswer answer;
-          answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
-                                     "the owner of the cell did not answer");
-          EndAttempt(*attempt, std::move(answer));
-          return;
-        }
-        m_directory.Refresh();
-        AwaitSuccessor(attempt, kRetryPause);
-      });
+  aAttempt->m_timer.async_wait([this, attempt = aAttempt,
+                                isFirst](boost::system::error_code aError) {
+    if (aError || attempt->m_ended) return;
+    if (HasOtherOwner(attempt->m_call.m_call.m_cell, attempt->m_address)) {
+      PeerAnswer answer;
+      answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
+                                 "the owner of the cell did not answer");
+      EndAttempt(*attempt, std::move(answer));
+      return;
+    }
+    if (isFirst) {
+      // The connection may have gone silent for good while new ones work.
+      // A job that is submitted or cancelled again is the same.
+      PeerCall again = attempt->m_call.m_call;
+      again.m_window -= BootNow() - attempt->m_begunAt;
+      const auto address = ParseAddress(attempt->m_address);
+      CallOptions options;
+      options.m_newConnection = true;
+      m_peers.Call(
+          address.value(), PeerHttpCall(again), again.m_window,
+          [this, attempt](const CallOutcome& aOutcome) {
+            // The first call may still be answered, or carried out.
+            const bool isWhole = aOutcome.m_stage == CallStage::CompleteReply;
+            if (!isWhole || attempt->m_ended) return;
+            if (ChangesJob(attempt->m_call.m_call.m_verb)) {
+              sched::NoteFailedAttempt(
+                  attempt->m_call.m_fate,
+                  MakeError(ErrorKind::OutcomeUnknown, "no answer yet"));
+            }
+            EndAttempt(*attempt, AnswerOf(aOutcome));
+          },
+          options);
+    }
+    m_directory.Refresh();
+    AwaitSuccessor(attempt, kRetryPause);
+  });
 }
 
 bool EntryNode::HasOtherOwner(CellId aCell, const std::string& aTried) const {
@@ -341,33 +394,10 @@
     aHandler(std::move(answer));
     return;
   }
-  HttpCall call;
-  call.m_method = "POST";
-  call.m_target = kPeerPath;
-  call.m_headers = {{"Content-Type", "application/cbor"}};
-  call.m_body = EncodePeerCall(aCall);
-  m_peers.Call(
-      address.value(), call, aCall.m_window,
-      [handler = std::move(aHandler)](CallOutcome aOutcome) {
-        PeerAnswer answer;
-        if (aOutcome.m_stage == CallStage::NotConnected) {
-          // Nothing was sent, so nothing was accepted.
-          answer.m_error = MakeError(ErrorKind::NotReady,
-                                     "cannot connect to the owner of the cell");
-        } else if (aOutcome.m_stage != CallStage::CompleteReply) {
-          answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
-                                     "the owner of the cell did not answer");
-        } else {
-          auto decoded = DecodePeerAnswer(aOutcome.m_reply.m_body);
-          if (decoded) {
-            answer = std::move(decoded.value());
-          } else {
-            answer.m_error =
-                MakeError(ErrorKind::OutcomeUnknown, decoded.error().m_message);
-          }
-        }
-        handler(std::move(answer));
-      });
+  m_peers.Call(address.value(), PeerHttpCall(aCall), aCall.m_window,
+               [handler = std::move(aHandler)](const CallOutcome& aOutcome) {
+                 handler(AnswerOf(aOutcome));
+               });
 }
 
 void EntryNode::AnswerCaller(const CallerRequest& aRequest,
--- a/tests/scheduler/entry_calls_test.cpp
+++ b/tests/scheduler/entry_calls_test.cpp
@@ -119,6 +119,38 @@
   m_nodes.clear();
 }
 
+/** Guards against callers that wait for their deadline on a connection to the
+ *  owner which has gone silent, although new connections work. */
+BOOST_AUTO_TEST_CASE(SilentConnectionToTheOwnerIsReplaced) {
+  constexpr uint64_t kTerm = 2;
+  Counters counters;
+  // Kept, so that the connection of the first call stays open.
+  std::vector<std::shared_ptr<HttpResponder>> unanswered;
+  PlayedOwner owner(m_platformThreads, counters,
+                    [&](const std::shared_ptr<HttpResponder>& aResponder) {
+                      owner.Beat(m_store, kTerm);
+                      if (unanswered.empty()) {
+                        unanswered.push_back(aResponder);
+                        return;
+                      }
+                      HttpReply reply;
+                      reply.m_contentType = "application/cbor";
+                      reply.m_body = EncodePeerAnswer(PeerAnswer());
+                      aResponder->Reply(std::move(reply));
+                    });
+  RunningNode& node = AddNode("n1");
+  HttpReply reply;
+  BOOST_REQUIRE(Eventually([&] {
+    owner.Beat(m_store, kTerm);
+    reply = Submit(node, "00000000000000a2");
+    return owner.Calls() > 0;
+  }));
+  BOOST_TEST(reply.m_status == 200);
+  BOOST_TEST(owner.Calls() == 2);
+  m_nodes.clear();
+  unanswered.clear();
+}
+
 /** Guards against an owner of an earlier build, which cannot read a request for
  *  its cell, that is asked again and again. */
 BOOST_AUTO_TEST_CASE(OwnerOfAnEarlierBuildIsAskedRarely) {
