--- a/src/scheduler/entry_calls.cpp
+++ b/src/scheduler/entry_calls.cpp
@@ -237,7 +237,9 @@
       EndAttempt(*attempt, std::move(answer));
       return;
     }
-    if (isFirst) {
+    // An owner that is handing the cell over would decline a second request.
+    const bool mayRepeat = attempt->m_call.m_call.m_verb != PeerVerb::HandOver;
+    if (isFirst && mayRepeat) {
       // The connection may have gone silent for good while new ones work.
       // A job that is submitted or cancelled again is the same.
       PeerCall again = attempt->m_call.m_call;
