scheduler: no job is accepted while heartbeats are refused

Change: a commit stands in for authority only while a heartbeat is on its way, as in a slow store. A heartbeat that got no answer in time is followed by the next one at once.

--- a/src/scheduler/cell_owner_calls.cpp
+++ b/src/scheduler/cell_owner_calls.cpp
@@ -128,9 +128,11 @@
 sched::AdmissionInput CellOwner::AdmissionInputOf(const PeerCall& aCall,
                                                   TimePoint aNow) const {
   sched::AdmissionInput input;
-  // A commit proves the ownership, also while heartbeats come too late.
-  input.m_reachesStore =
-      HasAuthority(aNow) || aNow - m_lastCommitSentAt < kOwnerTimeout;
+  // A commit proves the ownership, also while heartbeats come too late. While
+  // they are refused, look-ups are too: a caller could not look up its job.
+  const bool isHeartbeatLate =
+      m_heartbeatPending && aNow - m_lastCommitSentAt < kOwnerTimeout;
+  input.m_reachesStore = HasAuthority(aNow) || isHeartbeatLate;
   input.m_loopLag = m_loopLag;
   input.m_window = aCall.m_window;
   input.m_expectedCommit = sched::ExpectedCommitTime(m_recentCommits);
--- a/src/scheduler/cell_owner_heartbeat.cpp
+++ b/src/scheduler/cell_owner_heartbeat.cpp
@@ -88,9 +88,16 @@
       m_nextHeartbeatAt = now;
       if (!m_loaded) SendHeartbeat(now);
       return;
+    case StoreOutcome::Unknown:
+      // The store may be slow. The next one has waited for long enough.
+      if (m_loaded && now - aSentAt >= kOwnerHeartbeatInterval) {
+        m_nextHeartbeatAt = now;
+        SendHeartbeat(now);
+        return;
+      }
+      [[fallthrough]];
     case StoreOutcome::Refused:
     case StoreOutcome::Rejected:
-    case StoreOutcome::Unknown:
     case StoreOutcome::Malformed:
     case StoreOutcome::HistoryLost:
       m_nextHeartbeatAt = now + kRetryPause;
