--- a/tests/fuzz/http_replay_test.cpp
+++ b/tests/fuzz/http_replay_test.cpp
@@ -4,11 +4,9 @@
  */
 
 #include <boost/test/unit_test.hpp>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 
 #include "http_fuzz.h"
+#include "seed_replay.h"
 
 namespace bronze {
 
@@ -17,17 +15,11 @@
 /** Guards against messages without end that are read without bound, and against
  *  seeds that are no longer both accepted and refused. */
 BOOST_AUTO_TEST_CASE(EverySeedIsRead) {
-  size_t complete = 0;
-  size_t refused = 0;
-  for (const auto& entry :
-       std::filesystem::directory_iterator(BRONZE_SEED_FOLDER)) {
-    BOOST_TEST_CHECKPOINT(entry.path().filename().string());
-    std::ostringstream text;
-    text << std::ifstream(entry.path(), std::ios::binary).rdbuf();
-    ++(ReadFuzzedHttp(text.str()) > 0 ? complete : refused);
-  }
-  BOOST_TEST(complete >= 4U);
-  BOOST_TEST(refused >= 7U);
+  const SeedCounts seeds = ReplaySeeds(
+      BRONZE_SEED_FOLDER,
+      [](const std::string& aText) { return ReadFuzzedHttp(aText) > 0; });
+  BOOST_TEST(seeds.m_accepted >= 4U);
+  BOOST_TEST(seeds.m_refused >= 7U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fuzz/settings_replay_test.cpp
+++ b/tests/fuzz/settings_replay_test.cpp
@@ -3,10 +3,8 @@
  */
 
 #include <boost/test/unit_test.hpp>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 
+#include "seed_replay.h"
 #include "settings_fuzz.h"
 
 namespace bronze {
@@ -14,17 +12,11 @@
 // Guards against inputs that once crashed the loader, and against seeds that
 // are no longer both accepted and rejected.
 BOOST_AUTO_TEST_CASE(EverySeedIsLoaded) {
-  size_t accepted = 0;
-  size_t refused = 0;
-  for (const auto& entry :
-       std::filesystem::directory_iterator(BRONZE_SEED_FOLDER)) {
-    BOOST_TEST_CHECKPOINT(entry.path().filename().string());
-    std::ostringstream text;
-    text << std::ifstream(entry.path(), std::ios::binary).rdbuf();
-    ++(LoadFuzzedSettings(text.str()) ? accepted : refused);
-  }
-  BOOST_TEST(accepted >= 3U);
-  BOOST_TEST(refused >= 5U);
+  const SeedCounts seeds = ReplaySeeds(
+      BRONZE_SEED_FOLDER,
+      [](const std::string& aText) { return LoadFuzzedSettings(aText); });
+  BOOST_TEST(seeds.m_accepted >= 3U);
+  BOOST_TEST(seeds.m_refused >= 5U);
 }
 
 }  // namespace bronze
--- a/tests/fuzz/wire_replay_test.cpp
+++ b/tests/fuzz/wire_replay_test.cpp
@@ -4,11 +4,9 @@
  */
 
 #include <boost/test/unit_test.hpp>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <string>
 
+#include "seed_replay.h"
 #include "wire_fuzz.h"
 
 namespace bronze {
@@ -28,17 +26,11 @@
 /** Guards against inputs that crash a decoder, and against seeds that are no
  *  longer both accepted and refused. */
 BOOST_AUTO_TEST_CASE(EverySeedIsDecoded) {
-  size_t accepted = 0;
-  size_t refused = 0;
-  for (const auto& entry :
-       std::filesystem::directory_iterator(BRONZE_SEED_FOLDER)) {
-    BOOST_TEST_CHECKPOINT(entry.path().filename().string());
-    std::ostringstream text;
-    text << std::ifstream(entry.path(), std::ios::binary).rdbuf();
-    ++(DecodeFuzzedMessage(text.str()) > 0 ? accepted : refused);
-  }
-  BOOST_TEST(accepted >= 4U);
-  BOOST_TEST(refused >= 10U);
+  const SeedCounts seeds = ReplaySeeds(
+      BRONZE_SEED_FOLDER,
+      [](const std::string& aText) { return DecodeFuzzedMessage(aText) > 0; });
+  BOOST_TEST(seeds.m_accepted >= 4U);
+  BOOST_TEST(seeds.m_refused >= 10U);
 }
 
 /** Guards against a stack overflow: decoders of the JSON libraries recurse once
