tests: shared steps of fixtures

The loop over passes of evacuation_test stood in restart_test, and three cases of entry_calls_test submitted to a played owner in the same way. The checks are unchanged.

--- a/tests/core/sched/cell_fixture.h
+++ b/tests/core/sched/cell_fixture.h
@@ -86,6 +86,17 @@
     return starts;
   }
 
+  /** @return the starts that follow in this time, with a pass each 50 ms. */
+  std::vector<StartOrder> StartsWithin(Duration aTime) {
+    std::vector<StartOrder> starts;
+    for (const TimePoint until = m_now + aTime; m_now < until;) {
+      m_cell.m_capacityChanged = true;
+      for (const StartOrder& start : StartAll()) starts.push_back(start);
+      AdvanceTime(milliseconds(50));
+    }
+    return starts;
+  }
+
   /** @return the orders of one kind; all other orders are dropped. */
   template <class Kind>
   std::vector<Kind> Take() {
--- a/tests/core/sched/evacuation_test.cpp
+++ b/tests/core/sched/evacuation_test.cpp
@@ -41,17 +41,6 @@
     SetEvacuations(m_cell, std::move(aDataCentres));
   }
 
-  /** @return the starts of the next second, with a pass each 50 ms. */
-  std::vector<StartOrder> StartsWithinASecond() {
-    std::vector<StartOrder> starts;
-    for (const TimePoint until = m_now + seconds(1); m_now < until;) {
-      m_cell.m_capacityChanged = true;
-      for (const StartOrder& start : StartAll()) starts.push_back(start);
-      AdvanceTime(milliseconds(50));
-    }
-    return starts;
-  }
-
   RunnerIndex m_north;
   RunnerIndex m_south;
 };
@@ -66,7 +55,7 @@
   Evacuate({kNorth});
   Submit(Spec(1, 4));
   Submit(Spec(2, 1));
-  for (const StartOrder& start : StartsWithinASecond()) {
+  for (const StartOrder& start : StartsWithin(seconds(1))) {
     BOOST_TEST((start.m_runner == m_south));
   }
   BOOST_TEST(!m_cell.m_queue.empty());
@@ -104,7 +93,7 @@
   Evacuate({kNorth});
   m_north = AddRunnerIn(kNorth, "n", "r1");
   m_south = AddRunnerIn(kSouth, "s", "r2");
-  const auto starts = StartsWithinASecond();
+  const auto starts = StartsWithin(seconds(1));
   BOOST_TEST(!starts.empty());
   for (const StartOrder& start : starts) {
     BOOST_TEST((start.m_runner == m_south));
@@ -125,7 +114,7 @@
   Report(
       m_north, {},
       {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Failed, ""}});
-  const auto starts = StartsWithinASecond();
+  const auto starts = StartsWithin(seconds(1));
   BOOST_REQUIRE_EQUAL(starts.size(), 1U);
   BOOST_TEST((starts[0].m_runner == m_south));
 }
@@ -146,7 +135,7 @@
       first, {},
       {{EndNumber(1), {JobId(1), 0, 0, 0}, RunNumber(1), EndKind::Failed, ""}});
   AdvanceTime(kMaxQuarantineWait);
-  BOOST_TEST(StartsWithinASecond().empty());
+  BOOST_TEST(StartsWithin(seconds(1)).empty());
 }
 
 /** Guards against a gang that is placed partly in the data centre. */
@@ -155,9 +144,9 @@
   spec.m_steps[0].m_gang = true;
   Submit(spec);
   Evacuate({kNorth});
-  BOOST_TEST(StartsWithinASecond().empty());
+  BOOST_TEST(StartsWithin(seconds(1)).empty());
   AddRunnerIn(kSouth, "t", "r3");
-  const auto starts = StartsWithinASecond();
+  const auto starts = StartsWithin(seconds(1));
   BOOST_REQUIRE_EQUAL(starts.size(), 5U);
   for (const StartOrder& start : starts) {
     BOOST_TEST((start.m_runner != m_north));
@@ -182,10 +171,10 @@
 BOOST_AUTO_TEST_CASE(RequestsAreIndependent) {
   Evacuate({kNorth, kSouth});
   Submit(Spec(1, 1));
-  BOOST_TEST(StartsWithinASecond().empty());
+  BOOST_TEST(StartsWithin(seconds(1)).empty());
   Evacuate({kNorth});
   Evacuate({kNorth, kSouth});
-  BOOST_TEST(StartsWithinASecond().empty());
+  BOOST_TEST(StartsWithin(seconds(1)).empty());
   Evacuate({kSouth});
   const auto starts = StartAll();
   BOOST_REQUIRE_EQUAL(starts.size(), 1U);
@@ -199,7 +188,7 @@
   const RunnerIndex late = AddRunnerIn(kNorth, "late", "r4");
   AddRunnerIn(kNorth, "n", "r1");
   Submit(Spec(1, 5));
-  for (const StartOrder& start : StartsWithinASecond()) {
+  for (const StartOrder& start : StartsWithin(seconds(1))) {
     BOOST_TEST((start.m_runner == m_south));
   }
   BOOST_TEST(m_cell.m_runners[late.Value()].m_evacuated);
--- a/tests/core/sched/restart_test.cpp
+++ b/tests/core/sched/restart_test.cpp
@@ -38,17 +38,6 @@
 
   Runner& Quarantined() { return m_cell.m_runners[m_quarantined.Value()]; }
 
-  /** @return the starts that follow in this time, with a pass each 50 ms. */
-  std::vector<StartOrder> StartsWithin(Duration aTime) {
-    std::vector<StartOrder> starts;
-    for (const TimePoint until = m_now + aTime; m_now < until;) {
-      m_cell.m_capacityChanged = true;
-      for (const StartOrder& start : StartAll()) starts.push_back(start);
-      AdvanceTime(milliseconds(50));
-    }
-    return starts;
-  }
-
   RunnerIndex m_quarantined;
 };
 
--- a/tests/scheduler/entry_calls_test.cpp
+++ b/tests/scheduler/entry_calls_test.cpp
@@ -52,18 +52,45 @@
   HttpServer m_server;
 };
 
-void Refuse(const std::shared_ptr<HttpResponder>& aResponder, ErrorKind aKind) {
-  PeerAnswer answer;
-  answer.m_error = MakeError(aKind, "refused");
+void Answer(const std::shared_ptr<HttpResponder>& aResponder,
+            const PeerAnswer& aAnswer) {
   HttpReply reply;
   reply.m_contentType = "application/cbor";
-  reply.m_body = EncodePeerAnswer(answer);
+  reply.m_body = EncodePeerAnswer(aAnswer);
   aResponder->Reply(std::move(reply));
 }
 
+void Refuse(const std::shared_ptr<HttpResponder>& aResponder, ErrorKind aKind) {
+  PeerAnswer answer;
+  answer.m_error = MakeError(aKind, "refused");
+  Answer(aResponder, answer);
+}
+
+struct EntryCallsFixture : NodeFixture {
+  /** Submits a job again and again until it has been passed to the owner: the
+   *  node refuses calls until it has read its configuration. @return the last
+   *  reply. */
+  HttpReply SubmitTo(PlayedOwner& aOwner, uint64_t aTerm,
+                     const RunningNode& aNode, TimePoint& aBegunAt) {
+    HttpReply reply;
+    BOOST_REQUIRE(Eventually([&] {
+      aOwner.Beat(m_store, aTerm);
+      aBegunAt = BootNow();
+      reply = Submit(aNode, "00000000000000a2");
+      return aOwner.Calls() > 0;
+    }));
+    return reply;
+  }
+  HttpReply SubmitTo(PlayedOwner& aOwner, uint64_t aTerm,
+                     const RunningNode& aNode) {
+    TimePoint ignored;
+    return SubmitTo(aOwner, aTerm, aNode, ignored);
+  }
+};
+
 }  // namespace
 
-BOOST_FIXTURE_TEST_SUITE(EntryCallsSuite, NodeFixture)
+BOOST_FIXTURE_TEST_SUITE(EntryCallsSuite, EntryCallsFixture)
 
 /** Guards against 503, "never runs", for a job that was stored: its owner ended
  *  before it answered, and the successor refused the second attempt as it was
@@ -82,13 +109,7 @@
                       aResponder->Abort();
                     });
   RunningNode& node = AddNode("n1");
-  HttpReply reply;
-  // The node refuses calls until it has read its configuration.
-  BOOST_REQUIRE(Eventually([&] {
-    owner.Beat(m_store, kTerm);
-    reply = Submit(node, "00000000000000a2");
-    return owner.Calls() > 0;
-  }));
+  const HttpReply reply = SubmitTo(owner, kTerm, node);
   BOOST_TEST(reply.m_status == 504);
   BOOST_TEST(successor.Calls() > 1);
   m_nodes.clear();
@@ -105,14 +126,8 @@
                       Refuse(aResponder, ErrorKind::NotOwner);
                     });
   RunningNode& node = AddNode("n1");
-  HttpReply reply;
   TimePoint begunAt;
-  BOOST_REQUIRE(Eventually([&] {
-    owner.Beat(m_store, kTerm);
-    begunAt = BootNow();
-    reply = Submit(node, "00000000000000a2");
-    return owner.Calls() > 0;
-  }));
+  const HttpReply reply = SubmitTo(owner, kTerm, node, begunAt);
   BOOST_TEST(reply.m_status == 503);
   BOOST_TEST(!reply.Header("Retry-After").empty());
   BOOST_TEST((BootNow() - begunAt < seconds(2)));
@@ -133,18 +148,10 @@
                         unanswered.push_back(aResponder);
                         return;
                       }
-                      HttpReply reply;
-                      reply.m_contentType = "application/cbor";
-                      reply.m_body = EncodePeerAnswer(PeerAnswer());
-                      aResponder->Reply(std::move(reply));
+                      Answer(aResponder, PeerAnswer());
                     });
   RunningNode& node = AddNode("n1");
-  HttpReply reply;
-  BOOST_REQUIRE(Eventually([&] {
-    owner.Beat(m_store, kTerm);
-    reply = Submit(node, "00000000000000a2");
-    return owner.Calls() > 0;
-  }));
+  const HttpReply reply = SubmitTo(owner, kTerm, node);
   BOOST_TEST(reply.m_status == 200);
   BOOST_TEST(owner.Calls() == 2);
   m_nodes.clear();
