sched: one check for runners that take no new runs

Whether a runner is listed, drains or is under evacuation stood in IsReachable, in CellOwner::MayStart and in LoadOf; a further reason would have to be added in each. All of them ask IsOpen now.

--- a/src/core/sched/placement_func.cpp
+++ b/src/core/sched/placement_func.cpp
@@ -54,13 +54,17 @@
 
 }  // namespace
 
+bool IsOpen(const Runner& aRunner) {
+  return aRunner.m_listed && !aRunner.m_evacuated &&
+         !aRunner.m_entry.m_draining;
+}
+
 bool IsReachable(const Runner& aRunner, const ServiceId& aService,
                  TimePoint aNow) {
-  return aRunner.m_listed && aRunner.m_contacted && !aRunner.m_evacuated &&
-         !aRunner.m_entry.m_draining && aRunner.m_missedRenewals == 0 &&
-         !aRunner.m_lapseStored && !aRunner.m_hasUnknownRuns &&
-         aRunner.m_supersededRuns.empty() && aRunner.m_pausedUntil <= aNow &&
-         aRunner.m_entry.m_service == aService;
+  return IsOpen(aRunner) && aRunner.m_contacted &&
+         aRunner.m_missedRenewals == 0 && !aRunner.m_lapseStored &&
+         !aRunner.m_hasUnknownRuns && aRunner.m_supersededRuns.empty() &&
+         aRunner.m_pausedUntil <= aNow && aRunner.m_entry.m_service == aService;
 }
 
 bool IsUsable(const Runner& aRunner, const ServiceId& aService,
--- a/src/core/sched/placement_func.h
+++ b/src/core/sched/placement_func.h
@@ -15,8 +15,11 @@
 
 namespace bronze::sched {
 
-/** Whether a run may be started on the runner of that pool: it answers, stays,
- *  is not under evacuation, and all of its runs are known. */
+/** Whether the runner is listed, stays and is not under evacuation. */
+[[nodiscard]] bool IsOpen(const Runner& aRunner);
+
+/** Whether a run may be started on the runner of that pool: it is open and
+ *  answers, and all of its runs are known. */
 [[nodiscard]] bool IsReachable(const Runner& aRunner, const ServiceId& aService,
                                TimePoint aNow);
 
--- a/src/core/sched/route_cmd.cpp
+++ b/src/core/sched/route_cmd.cpp
@@ -11,6 +11,7 @@
 #include <set>
 
 #include "core/sched/cell_layout_func.h"
+#include "core/sched/placement_func.h"
 #include "core/sched/stored_size_func.h"
 #include "core/sched/task_internal.h"
 
@@ -96,7 +97,7 @@
     shortCores += static_cast<uint64_t>(
         (runner.m_reserved.m_cores - runner.m_longRunningCores).Value());
     bestEffort += static_cast<uint64_t>(runner.m_bestEffortCores.Value());
-    if (!runner.m_listed || runner.m_entry.m_draining) continue;
+    if (!IsOpen(runner)) continue;
     load.m_cores +=
         static_cast<uint64_t>(runner.m_entry.m_capacity.m_cores.Value());
     kinds.insert(runner.m_entry.m_labels.begin(),
--- a/src/scheduler/cell_owner.cpp
+++ b/src/scheduler/cell_owner.cpp
@@ -12,6 +12,7 @@
 #include "core/sched/job_cmd.h"
 #include "core/sched/lease_func.h"
 #include "core/sched/move_cmd.h"
+#include "core/sched/placement_func.h"
 #include "core/sched/route_cmd.h"
 #include "core/sched/runner_cmd.h"
 #include "core/sched/schedule_cmd.h"
@@ -259,10 +260,9 @@
 bool CellOwner::MayStart(sched::RunnerIndex aRunner, TimePoint aNow) const {
   // While the start waited for a connection, the runner may have said that it
   // leaves, or its evacuation may have been requested.
-  const sched::Runner& runner = m_cell.m_runners[aRunner.Value()];
   return !m_ended && !m_releaseSent && HasAuthority(aNow) &&
          IsListingCurrent(aNow) && AreRequestsCurrent(aNow) &&
-         runner.m_listed && !runner.m_evacuated && !runner.m_entry.m_draining;
+         sched::IsOpen(m_cell.m_runners[aRunner.Value()]);
 }
 
 }  // namespace bronze
