sched: added loads are computed once a report

The second margin had doubled the sums over all pairs of images of a runner, in each of its reports. The sums don't depend on the margin; paces follow from them for the tasks that are throttled. The paces are the same.

--- a/src/core/sched/pacing_func.cpp
+++ b/src/core/sched/pacing_func.cpp
@@ -193,43 +193,46 @@
          aPlace.m_task->m_phase == TaskPhase::Running;
 }
 
+/** @return the load that the best-effort tasks there add to each
+ *          latency-critical task at full speed. */
+std::vector<double> AddedLoads(const Cell& aCell, const Runner& aRunner) {
+  std::vector<double> all;
+  for (const LatencyCriticalView& latencyCritical : aRunner.m_latencyCritical) {
+    double added = 0.0;
+    for (const BestEffortDemand& load : aRunner.m_bestEffortDemands) {
+      added += InterferenceOf(aCell.m_interference, load.m_image,
+                              latencyCritical.m_image) *
+               static_cast<double>(load.m_millicores) / CapacityOf(aRunner);
+    }
+    all.push_back(added);
+  }
+  return all;
+}
+
 /** @return the share of full speed at which the best-effort tasks that affect
  *  this task keep it within its limit; 1 or more: no throttling is needed. */
-double SafePace(const Cell& aCell, const Runner& aRunner,
-                const LatencyCriticalView& aLatencyCritical, double aMargin) {
-  double added = 0.0;
-  for (const BestEffortDemand& load : aRunner.m_bestEffortDemands) {
-    added += InterferenceOf(aCell.m_interference, load.m_image,
-                            aLatencyCritical.m_image) *
-             static_cast<double>(load.m_millicores) / CapacityOf(aRunner);
-  }
-  if (added < kNegligibleLoad) return 1.0;
+double SafePace(const LatencyCriticalView& aLatencyCritical, double aAdded,
+                double aMargin) {
+  if (aAdded < kNegligibleLoad) return 1.0;
   const double headroom =
       aLatencyCritical.m_limitLoad - aMargin - aLatencyCritical.m_ownLoad;
-  return std::max(0.0, headroom / added);
-}
-
-/** @return SafePace of each latency-critical task there. */
-std::vector<double> SafePaces(const Cell& aCell, const Runner& aRunner,
-                              double aMargin) {
-  std::vector<double> paces;
-  for (const LatencyCriticalView& latencyCritical : aRunner.m_latencyCritical) {
-    paces.push_back(SafePace(aCell, aRunner, latencyCritical, aMargin));
-  }
-  return paces;
+  return std::max(0.0, headroom / aAdded);
 }
 
-/** @return the share of full speed at which the step's task may work there. */
+/** @return the share of full speed at which the step's task may work there.
+ *  @param aAdded AddedLoads of the runner. */
 double PaceFor(const Cell& aCell, const Runner& aRunner, const StepSpec& aStep,
-               const std::vector<double>& aSafePaces) {
+               const std::vector<double>& aAdded, double aMargin) {
   const double share =
       static_cast<double>(aStep.m_need.m_cores.Value()) / CapacityOf(aRunner);
   double pace = 1.0;
   for (size_t at = 0; at < aRunner.m_latencyCritical.size(); ++at) {
-    const double added =
+    const LatencyCriticalView& affected = aRunner.m_latencyCritical[at];
+    const double own =
         share * InterferenceOf(aCell.m_interference, aStep.m_imageIndex,
-                               aRunner.m_latencyCritical[at].m_image);
-    if (added >= kNegligibleLoad) pace = std::min(pace, aSafePaces[at]);
+                               affected.m_image);
+    if (own < kNegligibleLoad) continue;
+    pace = std::min(pace, SafePace(affected, aAdded[at], aMargin));
   }
   return pace;
 }
@@ -275,18 +278,15 @@
                                ? aNow - runner.m_overTargetSince
                                : Duration::zero();
   const CellSettings& settings = aCell.m_settings;
-  const std::vector<double> safePaces =
-      SafePaces(aCell, runner, settings.m_paceMargin);
-  const std::vector<double> urgentPaces =
-      SafePaces(aCell, runner, settings.m_urgentPaceMargin);
+  const std::vector<double> added = AddedLoads(aCell, runner);
   const std::vector<TaskKey> keys = runner.m_tasks;
   for (const TaskKey& key : keys) {
     const TaskPlace place = FindTask(aCell, key);
     if (!IsRunningBestEffort(place)) continue;
     const bool hasSlack =
         HasSlack(*place.m_step, place.m_occurrence->m_due, aNow);
-    const double urgentPace =
-        PaceFor(aCell, runner, *place.m_step, urgentPaces);
+    const double urgentPace = PaceFor(aCell, runner, *place.m_step, added,
+                                      settings.m_urgentPaceMargin);
     if (urgentPace < kMinPace ||
         overFor > (hasSlack ? kMoveAfter : kMoveUrgentAfter)) {
       LogDecision(
@@ -303,9 +303,9 @@
     // table leaves out small interference, and the tasks of a runner add up.
     const bool pauses =
         hasSlack ? runner.m_isOverTarget : overFor > kPauseUrgentAfter;
-    const double pace = hasSlack
-                            ? PaceFor(aCell, runner, *place.m_step, safePaces)
-                            : urgentPace;
+    const double pace = hasSlack ? PaceFor(aCell, runner, *place.m_step, added,
+                                           settings.m_paceMargin)
+                                 : urgentPace;
     const int percent =
         pauses ? 0 : static_cast<int>(std::lround(pace * 100.0));
     OrderPace(aCell, aIndex, key, *place.m_task, percent, aNow);
