scheduler: one time for the succession after a handover

The time that a named successor has stood in the directory, in the election and in the calls of entry VMs, with the same value and reason. They have to agree: a call must not wait for a successor that the election has given up.

--- a/src/scheduler/cell_directory.cpp
+++ b/src/scheduler/cell_directory.cpp
@@ -23,9 +23,6 @@
 constexpr double kSlowShare = 0.6;
 /** A slower answer shows a store that is under load or a link that is. */
 constexpr Duration kGoodReadTime = milliseconds(200);
-/** A named successor sends its first heartbeat within this time, or the cell is
- *  claimed by another VM later. */
-constexpr Duration kMaxHandoverTime = milliseconds(1500);
 constexpr Duration kReadTimeout = milliseconds(1000);
 /** After a longer gap between two successful reads than this beyond the
  *  interval, an unchanged heartbeat does not show that the owner is gone: it
@@ -95,7 +92,7 @@
   const CellView& view = m_views[aCell.Value()];
   return view.m_heartbeat && view.m_heartbeat->m_vm.empty() &&
          !view.m_heartbeat->m_successor.empty() &&
-         BootNow() - view.m_changedAt < kMaxHandoverTime;
+         BootNow() - view.m_changedAt < kMaxSuccessionTime;
 }
 
 void CellDirectory::ReadLater(Duration aPause) {
--- a/src/scheduler/entry_calls.cpp
+++ b/src/scheduler/entry_calls.cpp
@@ -12,6 +12,7 @@
 #include "net/address_func.h"
 #include "scheduler/boot_clock.h"
 #include "scheduler/entry_node.h"
+#include "scheduler/owner_timing.h"
 
 namespace bronze {
 
@@ -27,9 +28,6 @@
  * a new connection, and at its successor as soon as there is one. The first
  *  answer may still come: an owner answers late while the store is slow. */
 constexpr Duration kAttemptTimeout = milliseconds(1300);
-/** Longest wait of one call for the successor of an owner that has handed its
- *  cell over; the successor loads the cell meanwhile. */
-constexpr Duration kMaxHandoverWait = milliseconds(1500);
 /** A shorter rest of the caller's window is not worth another attempt. */
 constexpr Duration kMinAttempt = milliseconds(150);
 /** Routes that a call follows. A job moves at most four times. */
@@ -374,7 +372,7 @@
         const bool mustKnow = call.m_fate.m_mayBeDone || !answers;
         const bool hasTime = call.m_call.m_window > kMinAttempt;
         const bool hasSuccessor = (last.m_handedOver || IsHandedOver(cell)) &&
-                                  call.m_handoverWait < kMaxHandoverWait;
+                                  call.m_handoverWait < kMaxSuccessionTime;
         if (hasSuccessor) call.m_handoverWait += kRetryPause;
         const bool again = answers && (mustKnow || hasSuccessor) && hasTime;
         if (otherOwner || (address && again)) {
--- a/src/scheduler/owner_election.cpp
+++ b/src/scheduler/owner_election.cpp
@@ -17,9 +17,6 @@
 constexpr Duration kClaimTimeout = milliseconds(1200);
 /** A request takes as long as the release of the cell. */
 constexpr Duration kHandoverWindow = milliseconds(2500);
-/** A successor owns the cell within this time after its release, or another VM
- *  claims it later. */
-constexpr Duration kMaxHandoverTime = milliseconds(1500);
 
 }  // namespace
 
@@ -200,7 +197,7 @@
                                   : isAnswered     ? "declined"
                                                    : "unanswered";
   ++m_links.m_counts.m_requests[std::string(result)];
-  if (!aAnswer.m_error) m_successorUntil = BootNow() + kMaxHandoverTime;
+  if (!aAnswer.m_error) m_successorUntil = BootNow() + kMaxSuccessionTime;
   m_log.Write("[cell]", "request for cell={} {} reason={}", m_cell.Value(),
               result, aAnswer.m_error ? aAnswer.m_error->m_message : "");
   // The next read of the directory would show it, too.
@@ -217,7 +214,7 @@
   const bool isReleased = m_owner && !m_owner->HandedTo().empty();
   return takesOver || isReleased ||
          (m_handedOverAt != TimePoint() &&
-          BootNow() - m_handedOverAt < kMaxHandoverTime);
+          BootNow() - m_handedOverAt < kMaxSuccessionTime);
 }
 
 void OwnerElection::ConsiderClaim(TimePoint aNow) {
--- a/src/scheduler/owner_timing.h
+++ b/src/scheduler/owner_timing.h
@@ -25,6 +25,10 @@
  *  heartbeat: another daemon may be able to commit. */
 inline constexpr Duration kMaxCommitAge = milliseconds(1800);
 
+/** A named successor owns the cell within this time after its release, or
+ *  another VM claims it later. Calls wait for it meanwhile. */
+inline constexpr Duration kMaxSuccessionTime = milliseconds(1500);
+
 }  // namespace bronze
 
 #endif  // BRONZE_SCHEDULER_OWNER_TIMING_H_
