--- a/src/scheduler/entry_calls.cpp
+++ b/src/scheduler/entry_calls.cpp
@@ -225,44 +225,45 @@
                                Duration aPause) {
   const bool isFirst = aPause == kAttemptTimeout;
   aAttempt->m_timer.expires_after(aPause);
-  aAttempt->m_timer.async_wait([this, attempt = aAttempt,
-                                isFirst](boost::system::error_code aError) {
-    if (aError || attempt->m_ended) return;
-    if (HasOtherOwner(attempt->m_call.m_call.m_cell, attempt->m_address)) {
-      PeerAnswer answer;
-      answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
-                                 "the owner of the cell did not answer");
-      EndAttempt(*attempt, std::move(answer));
-      return;
-    }
-    // An owner that is handing the cell over would decline a second request.
-    const bool mayRepeat = attempt->m_call.m_call.m_verb != PeerVerb::HandOver;
-    if (isFirst && mayRepeat) {
-      // The connection may have gone silent for good while new ones work.
-      // A job that is submitted or cancelled again is the same.
-      PeerCall again = attempt->m_call.m_call;
-      again.m_window -= BootNow() - attempt->m_begunAt;
-      const auto address = ParseAddress(attempt->m_address);
-      CallOptions options;
-      options.m_newConnection = true;
-      m_peers.Call(
-          address.value(), PeerHttpCall(again), again.m_window,
-          [this, attempt](const CallOutcome& aOutcome) {
-            // The first call may still be answered, or carried out.
-            const bool isWhole = aOutcome.m_stage == CallStage::CompleteReply;
-            if (!isWhole || attempt->m_ended) return;
-            if (ChangesJob(attempt->m_call.m_call.m_verb)) {
-              sched::NoteFailedAttempt(
-                  attempt->m_call.m_fate,
-                  MakeError(ErrorKind::OutcomeUnknown, "no answer yet"));
-            }
-            EndAttempt(*attempt, AnswerOf(aOutcome));
-          },
-          options);
-    }
-    m_directory.Refresh();
-    AwaitSuccessor(attempt, kRetryPause);
-  });
+  aAttempt->m_timer.async_wait(
+      [this, attempt = aAttempt, isFirst](boost::system::error_code aError) {
+        if (aError || attempt->m_ended) return;
+        if (HasOtherOwner(attempt->m_call.m_call.m_cell, attempt->m_address)) {
+          PeerAnswer answer;
+          answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
+                                     "the owner of the cell did not answer");
+          EndAttempt(*attempt, std::move(answer));
+          return;
+        }
+        if (isFirst) RepeatAttempt(attempt);
+        m_directory.Refresh();
+        AwaitSuccessor(attempt, kRetryPause);
+      });
+}
+
+void EntryNode::RepeatAttempt(const std::shared_ptr<RemoteAttempt>& aAttempt) {
+  PeerCall again = aAttempt->m_call.m_call;
+  // An owner that is handing the cell over would decline a second request.
+  if (again.m_verb == PeerVerb::HandOver) return;
+  const auto address = ParseAddress(aAttempt->m_address);
+  if (!address) return;
+  again.m_window -= BootNow() - aAttempt->m_begunAt;
+  CallOptions options;
+  options.m_newConnection = true;
+  m_peers.Call(
+      address.value(), PeerHttpCall(again), again.m_window,
+      [this, attempt = aAttempt](const CallOutcome& aOutcome) {
+        // The first call may still be answered, or carried out.
+        const bool isWhole = aOutcome.m_stage == CallStage::CompleteReply;
+        if (!isWhole || attempt->m_ended) return;
+        if (ChangesJob(attempt->m_call.m_call.m_verb)) {
+          sched::NoteFailedAttempt(
+              attempt->m_call.m_fate,
+              MakeError(ErrorKind::OutcomeUnknown, "no answer yet"));
+        }
+        EndAttempt(*attempt, AnswerOf(aOutcome));
+      },
+      options);
 }
 
 bool EntryNode::HasOtherOwner(CellId aCell, const std::string& aTried) const {
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -118,6 +118,10 @@
   /** Looks for another owner after aPause, and from then on at intervals. */
   void AwaitSuccessor(const std::shared_ptr<RemoteAttempt>& aAttempt,
                       Duration aPause);
+  /** Sends the call once more on a new connection: the first one may have gone
+   *  silent for good while new ones work. A job that is submitted or cancelled
+   *  again is the same. */
+  void RepeatAttempt(const std::shared_ptr<RemoteAttempt>& aAttempt);
   [[nodiscard]] bool HasOtherOwner(CellId aCell,
                                    const std::string& aTried) const;
   /** @param aTried address of the owner that was called. */
