platform: no figure in the settings keeps a process from starting

Seen by callers: accepted jobs got no answer any more.

Cause: the reader knew one kind of problem, and ended the start on any: a figure with a safe reading was treated like a missing name or address.

Change: a table gives for each figure the value if it is missing, the value if it is no number, the range, and the side to which a fraction is rounded. So every file has one reading, at start and at reload. Only names and addresses are needed. Corrections are log lines and bronze_settings_corrected; docs/SETTINGS-platform.md is printed from the table and states the rule.

Ruled out: reading times as fractions only; a text, an infinity or a row_bytes below the minimum would still end the start.

Tests: settings_figure_test (each field with 39 odd values, random files, needed fields, rounding), OddFiguresAreReloaded. Two checks of platform_decode_test demanded the fault (a row_bytes below the minimum and a negative evacuate_ms were errors); they now demand the value that is used and that it is named.

--- a/src/core/config/settings_doc_func.cpp
+++ b/src/core/config/settings_doc_func.cpp
@@ -27,6 +27,10 @@
 and percents are plain whole numbers in the unit of the key. NAME in a key
 stands for the name of a kind or team; `NAME: {}` declares one with default
 values only. YAML lists, aliases, tags and second documents are rejected.
+
+They are the settings of bronzeworksd. `bronze-scheduler` reads the platform's file; for it,
+[SETTINGS-platform.md](SETTINGS-platform.md) has the fields, and the rule which of
+them can keep a process from starting: only names and addresses, never a figure.
 )";
 
 std::string ShownKey(const SettingRow& aRow) {
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -9,161 +9,173 @@
 #include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
+#include <cmath>
 #include <fstream>
-#include <functional>
 #include <sstream>
+#include <utility>
 #include <vector>
 
 #include "net/address_func.h"
+#include "platform/settings_figure.h"
 
 namespace bronze {
 
 namespace {
 
-/** Reads fields and collects the problems, so that all are reported at once. */
+/** Reads fields. Collects the problems of needed fields, so that all are
+ *  reported at once, and the corrections of the others. */
 class Reader {
  public:
   explicit Reader(const YAML::Node& aRoot) : m_root(aRoot) {}
 
-  template <class T>
-  T Get(const std::vector<std::string>& aPath, T aDefault, bool aRequired) {
-    YAML::Node at = YAML::Clone(m_root);
-    std::string name;
-    for (const std::string& part : aPath) {
-      name += (name.empty() ? "" : ".") + part;
-      if (!at.IsMap() || !at[part]) {
-        if (aRequired) m_problems.push_back(name + " is missing");
-        return aDefault;
-      }
-      at.reset(at[part]);
-    }
-    try {
-      return at.as<T>();
-    } catch (const YAML::Exception& error) {
-      m_problems.push_back(fmt::format("{}: {}", name, error.what()));
-      return aDefault;
+  /** @return the value of a needed field; empty if there is none. */
+  std::string Needed(const std::vector<std::string>& aPath) {
+    const YAML::Node node = Find(aPath);
+    if (node.IsDefined() && node.IsScalar() && !node.Scalar().empty()) {
+      return node.Scalar();
     }
+    m_problems.push_back(fmt::format(
+        "{} {}", fmt::join(aPath, "."),
+        node.IsDefined() && !node.IsNull() ? "is not a text" : "is missing"));
+    return "";
   }
 
-  boost::asio::ip::tcp::endpoint Address(
+  boost::asio::ip::tcp::endpoint NeededAddress(
       const std::vector<std::string>& aPath) {
-    const auto text = Get<std::string>(aPath, "", true);
+    const std::string text = Needed(aPath);
     if (text.empty()) return {};
     const auto address = ParseAddress(text);
-    if (!address) {
-      m_problems.push_back(address.error().m_message);
-      return {};
+    if (address) return address.value();
+    m_problems.push_back(fmt::format("{}: {}", fmt::join(aPath, "."),
+                                     address.error().m_message));
+    return {};
+  }
+
+  /** @return the address for other daemons: the VM's, with the first port of
+   * the range. */
+  boost::asio::ip::tcp::endpoint PeerAddress() {
+    const std::string ip = Needed({"ip"});
+    const uint16_t port = NeededFirstPort("port_range");
+    if (ip.empty() || port == 0) return {};
+    const auto address = ParseAddress(fmt::format("{}:{}", ip, port));
+    if (address) return address.value();
+    m_problems.push_back("ip: " + address.error().m_message);
+    return {};
+  }
+
+  /** @return the first port of the range; 0 if there is none. */
+  uint16_t NeededFirstPort(const std::string& aName) {
+    constexpr double kMaxPort = 65535.0;
+    const YAML::Node range = Find({aName});
+    std::optional<double> port;
+    if (range.IsDefined() && range.IsSequence() && range.size() > 0 &&
+        range[0].IsScalar()) {
+      port = ParseFigure(range[0].Scalar());
+    }
+    if (port && *port >= 1.0 && *port <= kMaxPort) {
+      return static_cast<uint16_t>(*port);
+    }
+    m_problems.push_back(aName + " has no first port");
+    return 0;
+  }
+
+  /** @return an address that is not needed; none if it is empty or cannot be
+   *          read. */
+  std::optional<boost::asio::ip::tcp::endpoint> Address(
+      const std::string& aName) {
+    const YAML::Node node = Find({aName});
+    if (!node.IsDefined() || node.IsNull()) return {};
+    const std::string text = node.IsScalar() ? node.Scalar() : "(a list)";
+    if (text.empty()) return {};
+    const auto address = ParseAddress(text);
+    if (address) return address.value();
+    m_corrections.push_back(
+        fmt::format("{} is not used: {}", aName, address.error().m_message));
+    return {};
+  }
+
+  double Figure(FigureId aId) {
+    const FigureField& field = FieldOf(aId);
+    const YAML::Node node =
+        Find({std::string(field.m_section), std::string(field.m_name)});
+    std::optional<std::string> text;
+    if (node.IsDefined() && !node.IsNull()) {
+      text = node.IsScalar() ? node.Scalar() : "(a list)";
     }
-    return address.value();
+    FigureReading reading = ReadFigure(field, text);
+    if (!reading.m_correction.empty()) {
+      m_corrections.push_back(std::move(reading.m_correction));
+    }
+    return reading.m_value;
   }
 
-  Duration Seconds(const std::vector<std::string>& aPath, double aDefault) {
-    return Duration(static_cast<int64_t>(Get(aPath, aDefault, false) * 1e6));
+  /** @param aUnit of the figure. @return the time in whole microseconds. */
+  Duration Time(FigureId aId, Duration aUnit) {
+    const double exact = Figure(aId) * static_cast<double>(aUnit.count());
+    const bool up = FieldOf(aId).m_rounding == FigureRounding::Up;
+    return Duration(
+        static_cast<int64_t>(up ? std::ceil(exact) : std::floor(exact)));
   }
-  Duration Millis(const std::vector<std::string>& aPath, int64_t aDefault) {
-    return milliseconds(Get(aPath, aDefault, false));
+  Duration Millis(FigureId aId) { return Time(aId, milliseconds(1)); }
+  Duration Seconds(FigureId aId) { return Time(aId, seconds(1)); }
+  int64_t Whole(FigureId aId) {
+    return static_cast<int64_t>(std::floor(Figure(aId)));
   }
 
-  void Problem(std::string aText) { m_problems.push_back(std::move(aText)); }
   [[nodiscard]] const std::vector<std::string>& Problems() const {
     return m_problems;
   }
+  [[nodiscard]] std::vector<std::string> TakeCorrections() {
+    return std::move(m_corrections);
+  }
 
  private:
+  [[nodiscard]] YAML::Node Find(const std::vector<std::string>& aPath) const {
+    YAML::Node at = YAML::Clone(m_root);
+    for (const std::string& part : aPath) {
+      if (!at.IsMap()) return YAML::Node(YAML::NodeType::Undefined);
+      const YAML::Node next = std::as_const(at)[part];
+      if (!next.IsDefined()) return YAML::Node(YAML::NodeType::Undefined);
+      at.reset(next);
+    }
+    return at;
+  }
+
   YAML::Node m_root;
   std::vector<std::string> m_problems;
+  std::vector<std::string> m_corrections;
 };
 
-// Used if the settings file has no such field; the platform documents the same
-// defaults.
-constexpr double kDefaultGraceSeconds = 6.0;
-constexpr int64_t kDefaultMaxLeaseMs = 6000;
-constexpr double kDefaultStatusSeconds = 120.0;
-constexpr double kDefaultLinkMbps = 1000.0;
-constexpr int64_t kDefaultConfigApplyMs = 2000;
-constexpr int64_t kDefaultDrainMs = 2000;
-constexpr int64_t kNoEvacuations = 0;
-constexpr int64_t kDefaultRowBytes = 65536;
-/** Holds a state row without tasks, and a block of several tasks. */
-constexpr int64_t kMinRowBytes = 8192;
-/** The process does not start with less. */
-constexpr int64_t kMinMemoryMb = 32;
-constexpr int64_t kMinDescriptors = 64;
-
-ProcessLimits ReadLimits(Reader& aReader) {
-  ProcessLimits limits;
-  const auto read = [&aReader](const std::string& aName, int64_t aDefault,
-                               int64_t aMin) {
-    const auto value = aReader.Get<int64_t>({"limits", aName}, aDefault, false);
-    if (value >= aMin) return value;
-    aReader.Problem(
-        fmt::format("limits.{} is {}; the minimum is {}", aName, value, aMin));
-    return aDefault;
-  };
-  limits.m_memory =
-      Mebibytes(read("memory_mb", limits.m_memory.Value(), kMinMemoryMb));
-  limits.m_descriptors = static_cast<size_t>(read(
-      "max_fds", static_cast<int64_t>(limits.m_descriptors), kMinDescriptors));
-  return limits;
-}
-
 NodeConfig Read(Reader& aReader) {
   NodeConfig config;
-  config.m_vm = VmId(aReader.Get<std::string>({"node_name"}, "", true));
-  config.m_dataCentre =
-      DataCentreId(aReader.Get<std::string>({"zone"}, "", true));
-  config.m_callerAddress = aReader.Address({"listen", "front"});
-  config.m_readyAddress = aReader.Address({"listen", "ready"});
-  config.m_storeAddress = aReader.Address({"platform", "address"});
-  if (!aReader.Get<std::string>({"advice"}, "", false).empty()) {
-    config.m_adviceAddress = aReader.Address({"advice"});
-  }
-  const auto ip = aReader.Get<std::string>({"ip"}, "", true);
-  const auto ports = aReader.Get<std::vector<int>>({"port_range"}, {}, true);
-  if (!ip.empty() && !ports.empty()) {
-    const auto address = ParseAddress(fmt::format("{}:{}", ip, ports.front()));
-    if (address) {
-      config.m_peerAddress = address.value();
-    } else {
-      aReader.Problem(address.error().m_message);
-    }
-  }
-  config.m_cpuShare = aReader.Get({"limits", "cpu_share"}, 1.0, false);
-  config.m_limits = ReadLimits(aReader);
-  config.m_linkMbps =
-      aReader.Get({"limits", "link_mbps"}, kDefaultLinkMbps, false);
-  config.m_configApply =
-      aReader.Millis({"bounds", "config_apply_ms"}, kDefaultConfigApplyMs);
-  config.m_drainNotice =
-      aReader.Millis({"bounds", "drain_ms"}, kDefaultDrainMs);
-  const int64_t evacuation =
-      aReader.Get<int64_t>({"bounds", "evacuate_ms"}, kNoEvacuations, false);
-  if (evacuation < kNoEvacuations) {
-    aReader.Problem(fmt::format(
-        "bounds.evacuate_ms is {}; it cannot be negative", evacuation));
-  }
-  if (evacuation > kNoEvacuations) {
-    config.m_evacuationNotice = milliseconds(evacuation);
-  }
-  config.m_grace = aReader.Seconds({"bounds", "grace_s"}, kDefaultGraceSeconds);
-  config.m_maxLease =
-      aReader.Millis({"bounds", "max_hold_ms"}, kDefaultMaxLeaseMs);
-  config.m_spreadFactor = aReader.Get({"bounds", "spread_factor"}, 1.0, false);
-  config.m_statusRetention =
-      aReader.Seconds({"bounds", "status_s"}, kDefaultStatusSeconds);
-  const auto rowBytes =
-      aReader.Get<int64_t>({"platform", "row_bytes"}, kDefaultRowBytes, false);
-  if (rowBytes < kMinRowBytes) {
-    aReader.Problem(fmt::format("platform.row_bytes is {}; the minimum is {}",
-                                rowBytes, kMinRowBytes));
-  }
-  config.m_storeRowBytes = static_cast<size_t>(rowBytes);
+  config.m_vm = VmId(aReader.Needed({"node_name"}));
+  config.m_dataCentre = DataCentreId(aReader.Needed({"zone"}));
+  config.m_callerAddress = aReader.NeededAddress({"listen", "front"});
+  config.m_readyAddress = aReader.NeededAddress({"listen", "ready"});
+  config.m_storeAddress = aReader.NeededAddress({"platform", "address"});
+  config.m_adviceAddress = aReader.Address("advice");
+  config.m_peerAddress = aReader.PeerAddress();
+  config.m_cpuShare = aReader.Figure(FigureId::CpuShare);
+  config.m_limits.m_memory = Mebibytes(aReader.Whole(FigureId::Memory));
+  config.m_limits.m_descriptors =
+      static_cast<size_t>(aReader.Whole(FigureId::Descriptors));
+  config.m_linkMbps = aReader.Figure(FigureId::LinkRate);
+  config.m_configApply = aReader.Millis(FigureId::ConfigApply);
+  config.m_drainNotice = aReader.Millis(FigureId::DrainNotice);
+  const Duration evacuation = aReader.Millis(FigureId::EvacuationNotice);
+  if (evacuation > Duration::zero()) config.m_evacuationNotice = evacuation;
+  config.m_grace = aReader.Seconds(FigureId::Grace);
+  config.m_maxLease = aReader.Millis(FigureId::MaxLease);
+  config.m_spreadFactor = aReader.Figure(FigureId::SpreadFactor);
+  config.m_statusRetention = aReader.Seconds(FigureId::StatusRetention);
+  config.m_storeRowBytes =
+      static_cast<size_t>(aReader.Whole(FigureId::RowBytes));
   return config;
 }
 
 }  // namespace
 
-Result<NodeConfig> DecodeNodeConfig(const std::string& aText) {
+Result<NodeConfigReading> DecodeNodeConfig(const std::string& aText) {
   YAML::Node root;
   try {
     root = YAML::Load(aText);
@@ -173,8 +185,10 @@
         fmt::format("the settings file is not valid YAML: {}", error.what()));
   }
   Reader reader(root);
-  NodeConfig config = Read(reader);
-  if (reader.Problems().empty()) return config;
+  NodeConfigReading settings;
+  settings.m_config = Read(reader);
+  settings.m_corrections = reader.TakeCorrections();
+  if (reader.Problems().empty()) return settings;
   return MakeError(
       ErrorKind::ConfigInvalid,
       fmt::format("invalid settings: {}", fmt::join(reader.Problems(), "; ")));
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/base/id_type.h"
 #include "core/base/time_type.h"
@@ -43,14 +44,23 @@
   friend bool operator==(const NodeConfig&, const NodeConfig&) = default;
 };
 
+/** What a settings file says, as it is used. */
+struct NodeConfigReading {
+  NodeConfig m_config;
+  /** Per field that is not used as it stands, the reason and what is used. */
+  std::vector<std::string> m_corrections;
+};
+
 /** Environment variable that holds the path of the settings file. */
 inline constexpr char kSettingsVariable[] = "BRONZEWORKS_CONFIG";
 
 /** @return the text of the settings file. */
 [[nodiscard]] Result<std::string> ReadSettingsText(const std::string& aPath);
 
-/** Decodes the settings file; the error lists all problems. */
-[[nodiscard]] Result<NodeConfig> DecodeNodeConfig(const std::string& aText);
+/** Decodes the settings file. Only a needed field that is missing or cannot be
+ *  used is an error (settings_figure.h); it lists all of them. */
+[[nodiscard]] Result<NodeConfigReading> DecodeNodeConfig(
+    const std::string& aText);
 
 }  // namespace bronze
 
--- a/src/scheduler/entry_metrics.cpp
+++ b/src/scheduler/entry_metrics.cpp
@@ -156,6 +156,7 @@
                 fmt::format("settings_reloads_total{{result=\"{}\"}}", result),
                 count);
   }
+  AppendCount(text, "settings_corrected", m_correctedSettings);
   const auto appendByLabel = [&text](std::string_view aName,
                                      std::string_view aLabel,
                                      const auto& aCounts) {
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -76,7 +76,7 @@
               AddressText(m_config.m_peerAddress));
   boost::asio::post(m_traffic, [watch = m_operatorWatch] { watch->Start(); });
   m_layoutKeeper->Start();
-  if (auto text = m_readSettings()) m_settingsText = std::move(text.value());
+  // Also reads the file once more, which may have changed since the start.
   Housekeep();
   const auto work = boost::asio::make_work_guard(m_context);
   m_context.run();
@@ -242,19 +242,23 @@
   }
   if (text.value() == m_settingsText && !aAsked) return;
   m_settingsText = std::move(text.value());
-  const auto config = DecodeNodeConfig(m_settingsText);
-  if (!config) {
+  const auto settings = DecodeNodeConfig(m_settingsText);
+  if (!settings) {
     ++m_reloads["refused"];
     m_log.Write("[main]", "settings reload refused error={}",
-                config.error().m_message);
+                settings.error().m_message);
     return;
   }
-  if (config.value() == m_config) {
+  for (const std::string& correction : settings.value().m_corrections) {
+    m_log.Write("[main]", "setting corrected: {}", correction);
+  }
+  m_correctedSettings = settings.value().m_corrections.size();
+  if (settings.value().m_config == m_config) {
     ++m_reloads["unchanged"];
     m_log.Write("[main]", "settings reloaded, nothing changed");
     return;
   }
-  ApplySettings(config.value());
+  ApplySettings(settings.value().m_config);
 }
 
 void EntryNode::ApplySettings(const NodeConfig& aConfig) {
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -213,6 +213,8 @@
   LatencyHistogram m_answerTimes;  ///< Time to answer callers' requests.
   std::map<std::string, uint64_t> m_answers;  ///< Count by verb and result.
   std::map<std::string, uint64_t> m_reloads;  ///< Count by result.
+  /** Fields of the settings file in force that are not used as they stand. */
+  size_t m_correctedSettings = 0;
 };
 
 }  // namespace bronze
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -17,6 +17,7 @@
 #include "core/overload/traffic_func.h"
 #include "net/address_func.h"
 #include "net/log_func.h"
+#include "platform/settings_figure.h"
 #include "scheduler/entry_node.h"
 
 namespace {
@@ -27,6 +28,7 @@
 Usage:
   bronze-scheduler [--settings FILE] [--runners-per-cell N]
   bronze-scheduler --check [--settings FILE]
+  bronze-scheduler --list-settings
   bronze-scheduler --help
 
 Options:
@@ -36,6 +38,7 @@
                    first time, 1 to 100000; without it, the size that the VM's
                    link and share of CPU allow. Later starts keep the cells.
   --check          Check the settings file, report all problems and exit.
+  --list-settings  Show the fields of the settings file and exit.
   --help           Show this text.
 
 On SIGTERM the process hands its cells over to other VMs, answers the calls in
@@ -159,14 +162,25 @@
 
 int main(int argc, char** argv) {
   const auto args = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
+  if (args.at("--list-settings").asBool()) {
+    fmt::print("{}", bronze::PlatformSettingsDocument());
+    return 0;
+  }
   std::signal(SIGPIPE, SIG_IGN);
   const std::string path = SettingsPath(args.at("--settings"));
   const auto text = bronze::ReadSettingsText(path);
   if (!text) return Fail(text.error());
-  const auto config = bronze::DecodeNodeConfig(text.value());
-  if (!config) return Fail(config.error());
+  const auto settings = bronze::DecodeNodeConfig(text.value());
+  if (!settings) return Fail(settings.error());
   const auto runnersPerCell = RunnersPerCell(args.at("--runners-per-cell"));
   if (!runnersPerCell) return Fail(runnersPerCell.error());
-  if (args.at("--check").asBool()) return 0;
-  return Serve(config.value(), path, {runnersPerCell.value(), nullptr});
+  if (args.at("--check").asBool()) {
+    for (const std::string& correction : settings.value().m_corrections) {
+      bronze::Log(bronze::LogLevel::Warn, bronze::LogPart::Main,
+                  "setting corrected: {}", correction);
+    }
+    return 0;
+  }
+  return Serve(settings.value().m_config, path,
+               {runnersPerCell.value(), nullptr});
 }
--- a/tests/scheduler/scheduler_store_test.cpp
+++ b/tests/scheduler/scheduler_store_test.cpp
@@ -222,6 +222,31 @@
   BOOST_TEST(BecomesCompleted(node, "00000000000000a9"));
 }
 
+/** Guards against a reload that reads a figure in another way than a start, and
+ *  against a correction that no metric shows. */
+BOOST_AUTO_TEST_CASE(OddFiguresAreReloaded) {
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, kJob));
+  const std::string needed = R"(node_name: n1
+zone: z
+ip: 127.0.0.1
+listen: {front: "127.0.0.1:1", ready: "127.0.0.1:2"}
+port_range: [3, 4]
+platform: {address: "127.0.0.1:5"}
+)";
+  const auto has = [&](const std::string& aLine) {
+    return Eventually(
+        [&] { return node.Metrics().find(aLine) != std::string::npos; });
+  };
+  node.Reload(needed + "bounds: {drain_ms: 2500.5, grace_s: 0.6}\n");
+  BOOST_TEST(has("settings_reloads_total{result=\"applied\"} 1"));
+  BOOST_TEST(has("settings_corrected 0"));
+  node.Reload(needed + "bounds: {drain_ms: soon, max_hold_ms: -1}\n");
+  BOOST_TEST(has("settings_reloads_total{result=\"applied\"} 2"));
+  BOOST_TEST(has("settings_corrected 2"));
+  BOOST_TEST(Submit(node, "00000000000000a9").m_status == 200);
+}
+
 /** Guards against jobs that are lost, run twice or cannot be looked up from
  *  every VM when runners and jobs are divided into several cells with owners on
  *  several VMs, and when one of these ends. */
