sched: what a stop's answer is kept for, and the proofs that end a run

The mark of an answered stop is a truth value again, as its time was not used, and says what it is for: a late refusal of an earlier order does not hasten the next one. Behaviour is unchanged.

--- a/src/core/sched/job_type.h
+++ b/src/core/sched/job_type.h
@@ -133,8 +133,8 @@
 };
 
 /** Value of Task::m_decidedAt for a run whose start has a lower fencing token
- *  than each renewal whose report counts from now on: a runner that has
- * answered such a renewal refuses the start. */
+ *  than each renewal whose report counts from now on (Runner::m_awaitsFence): a
+ *  runner that has answered such a renewal refuses the start. */
 inline constexpr TimePoint kDecidedByToken{};
 
 /** Pace of a run that is not throttled, in percent. */
@@ -153,18 +153,19 @@
   /** Time of the last stop order. An answer to it proves nothing about the run,
    *  so the order is repeated until one of the proofs below has been read. */
   TimePoint m_stopOrderedAt;
-  /** When the last stop order was answered as carried out; answers to earlier
-   *  orders no longer matter then. */
-  std::optional<TimePoint> m_stopAnsweredAt;
+  /** The last stop order was answered as carried out, so that a late refusal of
+   *  an earlier one does not hasten its repetition. */
+  bool m_stopAnswered = false;
   /** When another task was last stopped to make room for it. */
   TimePoint m_preemptedAt;
   /** From this time on, no order can begin the run on the present instance of
    *  its runner: the start or a stop was answered, or kDecidedByToken. Unset: a
    *  start may still be carried out.
    *
-   *  Only three things prove that a run has ended, and only they release its
-   *  runner: its end in a report; a certain report of the present instance that
-   *  was requested later than this and lacks the run; the end of its lease. */
+   *  Only these prove that a run has ended, and only they release its runner:
+   *  its end in a report; a certain report of the present instance that was
+   *  requested later than this and lacks the run; the end of its lease; another
+   *  runner that answers at its address (EndInstance). */
   std::optional<TimePoint> m_decidedAt;
   std::string m_checkpoint;  ///< Empty: start from the beginning.
   int m_percent = 0;         ///< Progress that the runner reported.
--- a/src/core/sched/runner_cmd.cpp
+++ b/src/core/sched/runner_cmd.cpp
@@ -375,11 +375,11 @@
     EndInstance(aCell, aCell.m_runners[aOrder.m_runner.Value()], aNow);
     return;
   }
-  if (aOutcome == OrderOutcome::RefusedFence && !task.m_stopAnsweredAt) {
+  if (aOutcome == OrderOutcome::RefusedFence && !task.m_stopAnswered) {
     RepeatSoon(task.m_stopOrderedAt);
   }
   if (aOutcome != OrderOutcome::Applied) return;
-  task.m_stopAnsweredAt = aNow;
+  task.m_stopAnswered = true;
   NoteDecided(task.m_decidedAt, aNow);
 }
 
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -298,7 +298,7 @@
 
 void OrderStop(Cell& aCell, const TaskKey& aKey, Task& aTask, TimePoint aNow) {
   aTask.m_stopOrderedAt = aNow;
-  aTask.m_stopAnsweredAt.reset();
+  aTask.m_stopAnswered = false;
   AddStopOrder(aCell, aKey, aTask.m_run, aTask.m_runner);
 }
 
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -22,6 +22,9 @@
 
 namespace {
 
+/** Stands in messages for a list or a map. */
+constexpr char kNoScalar[] = "(a list or map)";
+
 /** Reads fields. Collects the problems of needed fields, so that all are
  *  reported at once, and the corrections of the others. */
 class Reader {
@@ -85,7 +88,7 @@
       const std::string& aName) {
     const YAML::Node node = Find({aName});
     if (!node.IsDefined() || node.IsNull()) return {};
-    const std::string text = node.IsScalar() ? node.Scalar() : "(a list)";
+    const std::string text = node.IsScalar() ? node.Scalar() : kNoScalar;
     if (text.empty()) return {};
     const auto address = ParseAddress(text);
     if (address) return address.value();
@@ -100,7 +103,7 @@
         Find({std::string(field.m_section), std::string(field.m_name)});
     std::optional<std::string> text;
     if (node.IsDefined() && !node.IsNull()) {
-      text = node.IsScalar() ? node.Scalar() : "(a list)";
+      text = node.IsScalar() ? node.Scalar() : kNoScalar;
     }
     FigureReading reading = ReadFigure(field, text);
     if (!reading.m_correction.empty()) {
