--- a/tests/core/sched/cell_simulation.cpp
+++ b/tests/core/sched/cell_simulation.cpp
@@ -158,16 +158,6 @@
   After(milliseconds(300), [this, aJob] { CancelUntilStored(aJob); });
 }
 
-size_t CellSimulation::RunsOf(JobId aJob) const {
-  size_t runs = 0;
-  for (const SimulatedRunner& runner : m_runners) {
-    for (const auto& [key, run] : runner.m_runs) {
-      if (key.m_job == aJob) ++runs;
-    }
-  }
-  return runs;
-}
-
 void CellSimulation::Simulate(Duration aTime, Duration aCalm) {
   const TimePoint faultsEnd = m_now + aTime;
   const TimePoint end = faultsEnd + aCalm;
--- a/tests/core/sched/cell_simulation_runner.cpp
+++ b/tests/core/sched/cell_simulation_runner.cpp
@@ -104,6 +104,16 @@
       std::max(aRunner.m_deadline, std::min(aDeadline, longest));
 }
 
+size_t CellSimulation::RunsOf(JobId aJob) const {
+  size_t runs = 0;
+  for (const SimulatedRunner& runner : m_runners) {
+    for (const auto& [key, run] : runner.m_runs) {
+      if (key.m_job == aJob) ++runs;
+    }
+  }
+  return runs;
+}
+
 OrderOutcome CellSimulation::ExecuteStart(SimulatedRunner& aRunner,
                                           const StartOrder& aOrder,
                                           FencingToken aFence,
