--- a/spec/stop.pml
+++ b/spec/stop.pml
@@ -1,5 +1,5 @@
 /*
- * The end of one run on one runner: docs/platform.md, section 5.
+ * The end of one run on one runner: docs/platform.md, section 4.
  *
  * An owner orders the start of a run, the job may be cancelled at any time, and
  * the run has to end. Orders are carried out at any time after they were sent,
