sched, platform: one look-up of a placed task, one reading of optional values

The count of open stops repeated the look-up of a task that the longest wait of restarts had; TaskAt serves both. The reader of the settings took the text of an optional value in two places. Behaviour is unchanged, and no test changes.

Measured: the debug build is whole; sched_cell_test, sched_property_test, settings_figure_test and platform_decode_test pass; formatter, checks of names, and the linter on the four sources are clean.

--- a/src/core/sched/open_stop_func.cpp
+++ b/src/core/sched/open_stop_func.cpp
@@ -7,17 +7,12 @@
 
 #include <algorithm>
 
+#include "core/sched/task_internal.h"
+
 namespace bronze::sched {
 
 namespace {
 
-/** Each task of Runner::m_tasks has its occurrence. */
-const Task& TaskAt(const Cell& aCell, const TaskKey& aKey) {
-  const Job& job = aCell.m_jobs.at(aKey.m_job);
-  return job.m_occurrences.at(aKey.m_occurrence)
-      .m_tasks[job.m_stepOffset[aKey.m_step] + aKey.m_index];
-}
-
 void Add(OpenStops& aStops, Duration aAge) {
   ++aStops.m_count;
   aStops.m_longest = std::max(aStops.m_longest, aAge);
--- a/src/core/sched/restart_cmd.cpp
+++ b/src/core/sched/restart_cmd.cpp
@@ -74,10 +74,7 @@
                      TimePoint aNow) {
   Duration longest = Duration::zero();
   for (const TaskKey& key : aWaiting) {
-    const Job& job = aCell.m_jobs.at(key.m_job);
-    const Task& task = job.m_occurrences.at(key.m_occurrence)
-                           .m_tasks[job.m_stepOffset[key.m_step] + key.m_index];
-    longest = std::max(longest, aNow - task.m_phaseSince);
+    longest = std::max(longest, aNow - TaskAt(aCell, key).m_phaseSince);
   }
   return longest;
 }
--- a/src/core/sched/task_internal.cpp
+++ b/src/core/sched/task_internal.cpp
@@ -28,6 +28,12 @@
           &occurrence->second.m_tasks[at]};
 }
 
+const Task& TaskAt(const Cell& aCell, const TaskKey& aKey) {
+  const Job& job = aCell.m_jobs.at(aKey.m_job);
+  return job.m_occurrences.at(aKey.m_occurrence)
+      .m_tasks[job.m_stepOffset[aKey.m_step] + aKey.m_index];
+}
+
 void MarkChanged(Cell& aCell, Job& aJob) {
   ++aJob.m_version;
   const JobId id = aJob.m_spec.m_id;
--- a/src/core/sched/task_internal.h
+++ b/src/core/sched/task_internal.h
@@ -24,6 +24,9 @@
 /** @return all members null if the cell has no such task. */
 [[nodiscard]] TaskPlace FindTask(Cell& aCell, const TaskKey& aKey);
 
+/** @pre The cell has that task, as for each one in Runner::m_tasks. */
+[[nodiscard]] const Task& TaskAt(const Cell& aCell, const TaskKey& aKey);
+
 /** Marks the job as changed, so that the next commit includes it. */
 void MarkChanged(Cell& aCell, Job& aJob);
 
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -66,31 +66,13 @@
     return {};
   }
 
-  /** @return the first port of the range; 0 if there is none. */
-  uint16_t NeededFirstPort(const std::string& aName) {
-    constexpr double kMaxPort = 65535.0;
-    const YAML::Node range = Find({aName});
-    std::optional<double> port;
-    if (range.IsDefined() && range.IsSequence() && range.size() > 0 &&
-        range[0].IsScalar()) {
-      port = ParseFigure(range[0].Scalar());
-    }
-    if (port && *port >= 1.0 && *port <= kMaxPort) {
-      return static_cast<uint16_t>(*port);
-    }
-    m_problems.push_back(aName + " has no first port");
-    return 0;
-  }
-
   /** @return an address that is not needed; none if it is empty or cannot be
    *          read. */
   std::optional<boost::asio::ip::tcp::endpoint> Address(
       const std::string& aName) {
-    const YAML::Node node = Find({aName});
-    if (!node.IsDefined() || node.IsNull()) return {};
-    const std::string text = node.IsScalar() ? node.Scalar() : kNoScalar;
-    if (text.empty()) return {};
-    const auto address = ParseAddress(text);
+    const auto text = Value({aName});
+    if (!text || text->empty()) return {};
+    const auto address = ParseAddress(*text);
     if (address) return address.value();
     m_corrections.push_back(
         fmt::format("{} is not used: {}", aName, address.error().m_message));
@@ -99,13 +81,9 @@
 
   double Figure(FigureId aId) {
     const FigureField& field = FieldOf(aId);
-    const YAML::Node node =
-        Find({std::string(field.m_section), std::string(field.m_name)});
-    std::optional<std::string> text;
-    if (node.IsDefined() && !node.IsNull()) {
-      text = node.IsScalar() ? node.Scalar() : kNoScalar;
-    }
-    FigureReading reading = ReadFigure(field, text);
+    FigureReading reading = ReadFigure(
+        field,
+        Value({std::string(field.m_section), std::string(field.m_name)}));
     if (!reading.m_correction.empty()) {
       m_corrections.push_back(std::move(reading.m_correction));
     }
@@ -133,6 +111,30 @@
   }
 
  private:
+  /** @return the first port of the range; 0 if there is none. */
+  uint16_t NeededFirstPort(const std::string& aName) {
+    constexpr double kMaxPort = 65535.0;
+    const YAML::Node range = Find({aName});
+    std::optional<double> port;
+    if (range.IsDefined() && range.IsSequence() && range.size() > 0 &&
+        range[0].IsScalar()) {
+      port = ParseFigure(range[0].Scalar());
+    }
+    if (port && *port >= 1.0 && *port <= kMaxPort) {
+      return static_cast<uint16_t>(*port);
+    }
+    m_problems.push_back(aName + " has no first port");
+    return 0;
+  }
+
+  /** @return the value of a field that is not needed; none if it is missing. */
+  [[nodiscard]] std::optional<std::string> Value(
+      const std::vector<std::string>& aPath) const {
+    const YAML::Node node = Find(aPath);
+    if (!node.IsDefined() || node.IsNull()) return {};
+    return node.IsScalar() ? node.Scalar() : kNoScalar;
+  }
+
   [[nodiscard]] YAML::Node Find(const std::vector<std::string>& aPath) const {
     YAML::Node at = YAML::Clone(m_root);
     for (const std::string& part : aPath) {
