sched, scheduler: a refusal needs the own end of each copy of a call

An entry VM sends a call to an owner once more after 1.3 s. If the first copy could not connect until the caller's time was over, its definite "not sent" was reported, while the second copy had been read and waited for its commit. CallFate was one flag that was set when a copy ended in doubt, so an open copy left no trace in it.

CallFate now has an entry for each copy from before its first byte is sent, and only the copy's own end changes it. A refusal is reported only if each copy is known to have done nothing. All copies are sent by SendCopy and CallLocalOwner and reported by Report. An error waits for open copies until the caller's deadline at most; an acceptance counts from whichever copy it comes. The log line of a refusal lists the copies.

Ruled out: the client's own repetitions (each attempt has its own proof), a reply that belongs to another call (calls are numbered), jobs that the owner withdrew (never sent to the store).

Related paths read: FollowRoute overwrote the flag (fixed); the end of a second copy without an answer was ignored (fixed); a copy that waits for a connection in the HTTP client was sent after its caller had the answer (fixed); local owner, DELETE, Adopt, HandOver and counts use the same path; advice and runner clients send an order once and conclude nothing about another one.

Tests: on CopyThatCannotConnectDoesNotSettleTheSecond (503, not 504), RefusalOfTheFirstCopyDoesNotSettleTheSecond (503, not 504) and LateAnswerOfTheSecondCopyCounts (503, not 200) fail; they pass now. CopiesThatCannotConnectAreRefused passes on both.

--- a/src/scheduler/entry_calls.cpp
+++ b/src/scheduler/entry_calls.cpp
@@ -1,6 +1,6 @@
 /**
- * @file entry_calls.cpp Passes the requests of callers to the owners of cells,
- * along the routes of jobs, and answers them.
+ * @file entry_calls.cpp Takes the calls of callers and of other daemons, and
+ * answers them.
  */
 
 #include <boost/asio/post.hpp>
@@ -12,7 +12,6 @@
 #include "net/address_func.h"
 #include "scheduler/boot_clock.h"
 #include "scheduler/entry_node.h"
-#include "scheduler/owner_timing.h"
 
 namespace bronze {
 
@@ -21,23 +20,11 @@
 /** A call is failed this long before the caller's deadline, so that the error
  *  reaches the caller in time. */
 constexpr Duration kAnswerMargin = milliseconds(150);
-/** Pause before a call goes to another owner than the one that refused it; the
- *  directory is read again meanwhile. */
-constexpr Duration kRetryPause = milliseconds(130);
-/** A call to an owner that gets no answer within this time is repeated once on
- * a new connection, and at its successor as soon as there is one. The first
- *  answer may still come: an owner answers late while the store is slow. */
-constexpr Duration kAttemptTimeout = milliseconds(1300);
-/** A shorter rest of the caller's window is not worth another attempt. */
-constexpr Duration kMinAttempt = milliseconds(150);
 /** Routes that a call follows. A job moves at most four times. */
 constexpr int kMaxHops = 6;
-/** Known routes are forgotten beyond this number; they save one hop each. */
-constexpr size_t kMaxKnownRoutes = 20000;
 /** Sent to refused callers in Retry-After. A takeover of a cell takes a few
  *  seconds; most callers that retry after this time reach the new owner. */
 constexpr Duration kRetryAfter = seconds(1);
-constexpr char kPeerPath[] = "/peer/call";
 /** What a call with a shorter body holds is part of its connection's room. */
 constexpr size_t kReservedBodyBytes = 4096;
 
@@ -70,35 +57,6 @@
   return reply;
 }
 
-HttpCall PeerHttpCall(const PeerCall& aCall) {
-  HttpCall call;
-  call.m_method = "POST";
-  call.m_target = kPeerPath;
-  call.m_headers = {{"Content-Type", "application/cbor"}};
-  call.m_body = EncodePeerCall(aCall);
-  return call;
-}
-
-PeerAnswer AnswerOf(const CallOutcome& aOutcome) {
-  PeerAnswer answer;
-  if (aOutcome.m_stage == CallStage::NotConnected) {
-    // Nothing was sent, so nothing was accepted.
-    answer.m_error = MakeError(ErrorKind::NotReady,
-                               "cannot connect to the owner of the cell");
-    return answer;
-  }
-  if (aOutcome.m_stage != CallStage::CompleteReply) {
-    answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
-                               "the owner of the cell did not answer");
-    return answer;
-  }
-  auto decoded = DecodePeerAnswer(aOutcome.m_reply.m_body);
-  if (decoded) return std::move(decoded.value());
-  answer.m_error =
-      MakeError(ErrorKind::OutcomeUnknown, decoded.error().m_message);
-  return answer;
-}
-
 Error NoMemoryError() {
   return MakeError(ErrorKind::Overloaded,
                    "the memory for calls in progress is used up");
@@ -164,241 +122,7 @@
   aCall.m_routed = route != m_knownRoutes.end();
   aCall.m_cell =
       aCall.m_routed ? route->second : sched::HomeCell(m_layout, aCall.m_job);
-  Attempt({std::move(aCall), {}, kMaxHops, std::move(aHandler)});
-}
-
-void EntryNode::CallOwner(PeerCall aCall, AnswerHandler aHandler) {
-  Attempt({std::move(aCall), {}, {}, std::move(aHandler)});
-}
-
-void EntryNode::Attempt(OwnerCall aCall) {
-  const CellId cell = aCall.m_call.m_cell;
-  const TimePoint begunAt = BootNow();
-  if (const auto owner = m_elections[cell.Value()]->LocalOwner()) {
-    PeerCall sent = aCall.m_call;
-    owner->Handle(std::move(sent), [this, call = std::move(aCall),
-                                    begunAt](PeerAnswer aAnswer) mutable {
-      call.m_call.m_window -= BootNow() - begunAt;
-      // This owner cannot accept the call now and is still the owner.
-      const bool refuses = aAnswer.m_error && !call.m_fate.m_mayBeDone &&
-                           aAnswer.m_error->m_kind == ErrorKind::NotReady;
-      if (refuses) {
-        Finish(call, std::move(aAnswer));
-        return;
-      }
-      const std::string tried = AddressText(m_config.m_peerAddress);
-      OnAttempt(std::move(call), tried, std::move(aAnswer));
-    });
-    return;
-  }
-  const auto address = m_directory.AddressOf(cell);
-  if (!address || *address == AddressText(m_config.m_peerAddress)) {
-    m_directory.Refresh();
-    PeerAnswer answer;
-    answer.m_error =
-        MakeError(ErrorKind::NotReady, "no owner of the cell is known");
-    if (aCall.m_fate.m_mayBeDone || IsHandedOver(cell)) {
-      RetryLater(std::move(aCall), "", std::move(answer));
-    } else {
-      Finish(aCall, std::move(answer));
-    }
-    return;
-  }
-  const auto attempt = std::make_shared<RemoteAttempt>(
-      m_context, std::move(aCall), *address, begunAt);
-  Forward(*address, attempt->m_call.m_call,
-          [this, attempt](PeerAnswer aAnswer) mutable {
-            EndAttempt(*attempt, std::move(aAnswer));
-          });
-  AwaitSuccessor(attempt, kAttemptTimeout);
-}
-
-void EntryNode::EndAttempt(RemoteAttempt& aAttempt, PeerAnswer aAnswer) {
-  if (aAttempt.m_ended) return;
-  aAttempt.m_ended = true;
-  aAttempt.m_timer.cancel();
-  aAttempt.m_call.m_call.m_window -= BootNow() - aAttempt.m_begunAt;
-  OnAttempt(std::move(aAttempt.m_call), aAttempt.m_address, std::move(aAnswer));
-}
-
-void EntryNode::AwaitSuccessor(const std::shared_ptr<RemoteAttempt>& aAttempt,
-                               Duration aPause) {
-  const bool isFirst = aPause == kAttemptTimeout;
-  aAttempt->m_timer.expires_after(aPause);
-  aAttempt->m_timer.async_wait(
-      [this, attempt = aAttempt, isFirst](boost::system::error_code aError) {
-        if (aError || attempt->m_ended) return;
-        if (HasOtherOwner(attempt->m_call.m_call.m_cell, attempt->m_address)) {
-          PeerAnswer answer;
-          answer.m_error = MakeError(ErrorKind::OutcomeUnknown,
-                                     "the owner of the cell did not answer");
-          EndAttempt(*attempt, std::move(answer));
-          return;
-        }
-        if (isFirst) RepeatAttempt(attempt);
-        m_directory.Refresh();
-        AwaitSuccessor(attempt, kRetryPause);
-      });
-}
-
-void EntryNode::RepeatAttempt(const std::shared_ptr<RemoteAttempt>& aAttempt) {
-  PeerCall again = aAttempt->m_call.m_call;
-  // An owner that is handing the cell over would decline a second request.
-  if (again.m_verb == PeerVerb::HandOver) return;
-  const auto address = ParseAddress(aAttempt->m_address);
-  if (!address) return;
-  again.m_window -= BootNow() - aAttempt->m_begunAt;
-  CallOptions options;
-  options.m_newConnection = true;
-  m_peers.Call(
-      address.value(), PeerHttpCall(again), again.m_window,
-      [this, attempt = aAttempt](const CallOutcome& aOutcome) {
-        // The first call may still be answered, or carried out.
-        const bool isWhole = aOutcome.m_stage == CallStage::CompleteReply;
-        if (!isWhole || attempt->m_ended) return;
-        if (ChangesJob(attempt->m_call.m_call.m_verb)) {
-          sched::NoteFailedAttempt(
-              attempt->m_call.m_fate,
-              MakeError(ErrorKind::OutcomeUnknown, "no answer yet"));
-        }
-        EndAttempt(*attempt, AnswerOf(aOutcome));
-      },
-      options);
-}
-
-bool EntryNode::HasOtherOwner(CellId aCell, const std::string& aTried) const {
-  const auto address = m_directory.AddressOf(aCell);
-  return m_elections[aCell.Value()]->LocalOwner() ||
-         (address && *address != aTried);
-}
-
-void EntryNode::OnAttempt(OwnerCall aCall, const std::string& aTried,
-                          PeerAnswer aAnswer) {
-  if (aAnswer.m_routedTo && aCall.m_hopsLeft) {
-    FollowRoute(std::move(aCall), std::move(aAnswer));
-    return;
-  }
-  if (aAnswer.m_error) {
-    if (ChangesJob(aCall.m_call.m_verb)) {
-      sched::NoteFailedAttempt(aCall.m_fate, *aAnswer.m_error);
-    }
-    if (MayRepeat(aCall, *aAnswer.m_error)) {
-      RetryLater(std::move(aCall), aTried, std::move(aAnswer));
-      return;
-    }
-  }
-  Finish(aCall, std::move(aAnswer));
-}
-
-void EntryNode::FollowRoute(OwnerCall aCall, PeerAnswer aAnswer) {
-  const CellId target = *aAnswer.m_routedTo;
-  if (*aCall.m_hopsLeft == 0 || target.Value() >= m_layout.m_cells) {
-    // Routes lead to it, so the job may well exist.
-    aCall.m_fate.m_mayBeDone = ChangesJob(aCall.m_call.m_verb);
-    aAnswer.m_error = MakeError(ErrorKind::NotReady, "the job is being moved");
-    Finish(aCall, std::move(aAnswer));
-    return;
-  }
-  if (m_knownRoutes.size() >= kMaxKnownRoutes) m_knownRoutes.clear();
-  m_knownRoutes[aCall.m_call.m_job] = target;
-  --*aCall.m_hopsLeft;
-  aCall.m_call.m_cell = target;
-  aCall.m_call.m_routed = true;
-  aCall.m_call.m_window =
-      std::max(aCall.m_call.m_window, Duration(kAnswerMargin));
-  Attempt(std::move(aCall));
-}
-
-void EntryNode::Finish(const OwnerCall& aCall, PeerAnswer aAnswer) {
-  if (aAnswer.m_error) {
-    aAnswer.m_error =
-        sched::FinalError(aCall.m_fate, std::move(*aAnswer.m_error));
-  }
-  aCall.m_handler(std::move(aAnswer));
-}
-
-bool EntryNode::IsHandedOver(CellId aCell) const {
-  return m_directory.IsHandedOver(aCell) ||
-         m_elections[aCell.Value()]->IsHandedOver();
-}
-
-bool EntryNode::ChangesJob(PeerVerb aVerb) {
-  switch (aVerb) {
-    case PeerVerb::Submit:
-    case PeerVerb::Cancel:
-    case PeerVerb::Adopt:
-      return true;
-    case PeerVerb::LookUp:
-    case PeerVerb::CountPending:
-    case PeerVerb::HandOver:
-      return false;
-  }
-  return true;
-}
-
-bool EntryNode::MayRepeat(const OwnerCall& aCall, const Error& aError) {
-  // The VM that asks decides whether and whom to ask again.
-  if (aCall.m_call.m_verb == PeerVerb::HandOver) return false;
-  const bool hasTime = aCall.m_call.m_window > kMinAttempt;
-  switch (aError.m_kind) {
-    case ErrorKind::NotOwner:
-    case ErrorKind::NotReady:
-      return true;
-    case ErrorKind::StoreUnavailable:
-      // Nothing was done by this attempt. Only an owner that reaches the store
-      // can tell what became of the earlier ones.
-      return aCall.m_fate.m_mayBeDone && hasTime;
-    case ErrorKind::OutcomeUnknown:
-      // A job that is submitted or cancelled again under its id is the same,
-      // and what a former owner does after its successor's claim has no effect.
-      return aCall.m_call.m_verb != PeerVerb::Adopt && hasTime;
-    default:
-      return false;
-  }
-}
-
-void EntryNode::RetryLater(OwnerCall aCall, const std::string& aTried,
-                           PeerAnswer aLast) {
-  m_directory.Refresh();
-  auto timer = std::make_shared<boost::asio::steady_timer>(m_context);
-  timer->expires_after(kRetryPause);
-  timer->async_wait(
-      [this, timer, call = std::move(aCall), tried = aTried,
-       last = std::move(aLast)](boost::system::error_code) mutable {
-        call.m_call.m_window -= kRetryPause;
-        const CellId cell = call.m_call.m_cell;
-        const auto address = m_directory.AddressOf(cell);
-        const bool otherOwner = HasOtherOwner(cell, tried);
-        const bool answers = last.m_error->m_kind != ErrorKind::OutcomeUnknown;
-        const bool mustKnow = call.m_fate.m_mayBeDone || !answers;
-        const bool hasTime = call.m_call.m_window > kMinAttempt;
-        const bool hasSuccessor = (last.m_handedOver || IsHandedOver(cell)) &&
-                                  call.m_handoverWait < kMaxSuccessionTime;
-        if (hasSuccessor) call.m_handoverWait += kRetryPause;
-        const bool again = answers && (mustKnow || hasSuccessor) && hasTime;
-        if (otherOwner || (address && again)) {
-          Attempt(std::move(call));
-        } else if ((mustKnow || hasSuccessor) && hasTime) {
-          RetryLater(std::move(call), tried, std::move(last));
-        } else {
-          Finish(call, std::move(last));
-        }
-      });
-}
-
-void EntryNode::Forward(const std::string& aAddress, PeerCall aCall,
-                        AnswerHandler aHandler) {
-  const auto address = ParseAddress(aAddress);
-  if (!address) {
-    PeerAnswer answer;
-    answer.m_error = address.error();
-    aHandler(std::move(answer));
-    return;
-  }
-  m_peers.Call(address.value(), PeerHttpCall(aCall), aCall.m_window,
-               [handler = std::move(aHandler)](const CallOutcome& aOutcome) {
-                 handler(AnswerOf(aOutcome));
-               });
+  CallOwner(std::move(aCall), kMaxHops, std::move(aHandler));
 }
 
 void EntryNode::AnswerCaller(const CallerRequest& aRequest,
--- a/src/scheduler/entry_count.cpp
+++ b/src/scheduler/entry_count.cpp
@@ -48,7 +48,7 @@
     PeerCall call = aCall;
     call.m_cell = CellId(cell);
     CallOwner(
-        std::move(call), [this, key, add, now](const PeerAnswer& aAnswer) {
+        std::move(call), {}, [this, key, add, now](const PeerAnswer& aAnswer) {
           if (!aAnswer.m_error) {
             m_counts[key] = {aAnswer.m_count, now};
             add(aAnswer.m_count, {});
--- a/src/scheduler/entry_node.cpp
+++ b/src/scheduler/entry_node.cpp
@@ -100,7 +100,7 @@
       std::make_shared<AskState>()};
   const OwnerLinks links{m_store, m_runners, m_advisor,
                          [this](PeerCall aCall, AnswerHandler aHandler) {
-                           CallOwner(std::move(aCall), std::move(aHandler));
+                           CallOwner(std::move(aCall), {}, std::move(aHandler));
                          },
                          m_ownershipCounts};
   for (uint32_t cell = 0; cell < aLayout.m_cells; ++cell) {
--- a/src/scheduler/entry_node.h
+++ b/src/scheduler/entry_node.h
@@ -30,6 +30,9 @@
 /** Returns the text of the settings file. */
 using SettingsReader = std::function<Result<std::string>()>;
 
+/** Target of the calls between daemons. */
+inline constexpr char kPeerPath[] = "/peer/call";
+
 struct EntryOptions {
   /** Runners that one cell should have; 0: by the VM's link. */
   size_t m_runnersPerCell = 0;
@@ -72,27 +75,37 @@
 
   /** A call to the owner of a cell; it may take several attempts. */
   struct OwnerCall {
-    PeerCall m_call;  ///< Its window is the time that is left.
+    OwnerCall(boost::asio::io_context& aContext, PeerCall aCall,
+              std::optional<int> aHops, AnswerHandler aHandler);
+    PeerCall m_call;
+    TimePoint m_deadline;  ///< No copy waits for longer than until then.
     sched::CallFate m_fate;
     /** Routes that may still be followed; not set: none is. */
     std::optional<int> m_hopsLeft;
-    AnswerHandler m_handler;
+    AnswerHandler m_handler;    ///< Null once the call is answered.
     Duration m_handoverWait{};  ///< Spent on waiting for a successor.
+    boost::asio::steady_timer m_deadlineTimer;
+    /** To be reported once all copies have ended, unless one of them has made
+     *  the change; set when no further attempt follows. */
+    std::optional<PeerAnswer> m_lastAnswer;
   };
+  using SharedCall = std::shared_ptr<OwnerCall>;
 
   /** A call on its way to an owner on another VM. */
   struct RemoteAttempt {
-    RemoteAttempt(boost::asio::io_context& aContext, OwnerCall aCall,
-                  std::string aAddress, TimePoint aBegunAt)
+    RemoteAttempt(boost::asio::io_context& aContext, SharedCall aCall,
+                  std::string aOwner, boost::asio::ip::tcp::endpoint aAddress)
         : m_call(std::move(aCall)),
+          m_owner(std::move(aOwner)),
           m_address(std::move(aAddress)),
-          m_begunAt(aBegunAt),
           m_timer(aContext) {}
-    OwnerCall m_call;
-    std::string m_address;
-    TimePoint m_begunAt;
+    SharedCall m_call;
+    std::string m_owner;  ///< Its address as the directory has it.
+    boost::asio::ip::tcp::endpoint m_address;
+    size_t m_openCopies = 0;
     boost::asio::steady_timer m_timer;  ///< Next look for another owner.
-    /** Answered, or given up for another owner: a later answer is ignored. */
+    /** Answered, or given up for another owner. Its copies may still answer the
+     *  call. */
     bool m_ended = false;
   };
 
@@ -110,10 +123,20 @@
   void Serve(CallerRequest aRequest, const SharedResponder& aResponder);
   /** Passes the call to the job's cell, along its routes. */
   void ServeCall(PeerCall aCall, AnswerHandler aHandler);
-  /** Passes the call to the owner of its cell; follows no route. */
-  void CallOwner(PeerCall aCall, AnswerHandler aHandler);
+  /** Passes the call to the owner of its cell.
+   *  @param aHops routes that it may follow; not set: none. */
+  void CallOwner(PeerCall aCall, std::optional<int> aHops,
+                 AnswerHandler aHandler);
+  /** Answers the call shortly after its deadline, whatever is still open. */
+  void AwaitDeadline(const SharedCall& aCall);
   /** Calls the owner of the cell, in this process or on another VM. */
-  void Attempt(OwnerCall aCall);
+  void Attempt(const SharedCall& aCall);
+  void CallLocalOwner(const SharedCall& aCall, CellOwner& aOwner);
+  /** The only place that sends a call to another VM. */
+  void SendCopy(const std::shared_ptr<RemoteAttempt>& aAttempt,
+                bool aOnNewConnection);
+  void OnCopyEnd(RemoteAttempt& aAttempt, sched::CopyNumber aCopy,
+                 const CallOutcome& aOutcome);
   void EndAttempt(RemoteAttempt& aAttempt, PeerAnswer aAnswer);
   /** Looks for another owner after aPause, and from then on at intervals. */
   void AwaitSuccessor(const std::shared_ptr<RemoteAttempt>& aAttempt,
@@ -125,10 +148,10 @@
   [[nodiscard]] bool HasOtherOwner(CellId aCell,
                                    const std::string& aTried) const;
   /** @param aTried address of the owner that was called. */
-  void OnAttempt(OwnerCall aCall, const std::string& aTried,
+  void OnAttempt(const SharedCall& aCall, const std::string& aTried,
                  PeerAnswer aAnswer);
   /** Calls the owner of the cell that the answer names. */
-  void FollowRoute(OwnerCall aCall, PeerAnswer aAnswer);
+  void FollowRoute(const SharedCall& aCall, PeerAnswer aAnswer);
   /** Whether the cell has been handed over and has a successor soon. */
   [[nodiscard]] bool IsHandedOver(CellId aCell) const;
   /** Whether the call asks for a change of a job. */
@@ -138,13 +161,15 @@
                                       const Error& aError);
   /** Makes another attempt once there may be an owner that can answer, or
    *  reports the last error when the time is over. */
-  void RetryLater(OwnerCall aCall, const std::string& aTried, PeerAnswer aLast);
-  /** Reports the answer; the only place that calls the handler of aCall. */
-  static void Finish(const OwnerCall& aCall, PeerAnswer aAnswer);
+  void RetryLater(const SharedCall& aCall, const std::string& aTried,
+                  PeerAnswer aLast);
+  /** No attempt follows: reports the answer, an error only once no copy that is
+   *  still open can tell more. */
+  static void Finish(OwnerCall& aCall, PeerAnswer aAnswer);
+  /** The only place that calls the handler of aCall. */
+  static void Report(OwnerCall& aCall, PeerAnswer aAnswer);
   /** Adds up the counts of all cells. */
   void CountPending(const PeerCall& aCall, const AnswerHandler& aHandler);
-  void Forward(const std::string& aAddress, PeerCall aCall,
-               AnswerHandler aHandler);
   void AnswerCaller(const CallerRequest& aRequest, const PeerAnswer& aAnswer,
                     const SharedResponder& aResponder, TimePoint aBegunAt);
   [[nodiscard]] std::shared_ptr<const sched::LiveConfig> Config() const;
--- a/tests/scheduler/entry_calls_test.cpp
+++ b/tests/scheduler/entry_calls_test.cpp
@@ -3,6 +3,8 @@
  * the owner of the cell is another daemon, which this test plays.
  */
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "codec/peer_call_cbor.h"
@@ -13,6 +15,20 @@
 
 namespace {
 
+/** Writes the heartbeat of an owner of cell 0. */
+void WriteHeartbeat(standin::RowStore& aStore, const std::string& aAddress,
+                    uint64_t aTerm, uint64_t aSequence,
+                    Millicores aCpu = Millicores(1000)) {
+  HeartbeatRow row;
+  row.m_vm = "played-" + std::to_string(aTerm);
+  row.m_incarnation = 1;
+  row.m_address = aAddress;
+  row.m_sequence = aSequence;
+  row.m_capability.m_cpu = aCpu;
+  row.m_term = FencingToken(aTerm);
+  aStore.Put("beat", "", "0", EncodeHeartbeatRow(row));
+}
+
 /** A daemon that others believe to own cell 0. */
 class PlayedOwner {
  public:
@@ -32,17 +48,11 @@
   /** Writes the heartbeat of its term. */
   void Beat(standin::RowStore& aStore, uint64_t aTerm,
             Millicores aCpu = Millicores(1000)) {
-    HeartbeatRow row;
-    row.m_vm = "played-" + std::to_string(aTerm);
-    row.m_incarnation = 1;
-    row.m_address = m_address;
-    row.m_sequence = ++m_sequence;
-    row.m_capability.m_cpu = aCpu;
-    row.m_term = FencingToken(aTerm);
-    aStore.Put("beat", "", "0", EncodeHeartbeatRow(row));
+    WriteHeartbeat(aStore, m_address, aTerm, ++m_sequence, aCpu);
   }
 
   [[nodiscard]] int Calls() const { return m_calls; }
+  [[nodiscard]] const std::string& Address() const { return m_address; }
 
  private:
   Script m_script;
@@ -66,7 +76,77 @@
   Answer(aResponder, answer);
 }
 
+/** A listening socket whose queue of new connections holds one, so that the
+ *  next ones get no answer, as across a cut link. */
+class FullListener {
+ public:
+  FullListener()
+      : m_acceptor(m_context), m_filler(m_context), m_accepted(m_context) {
+    const boost::asio::ip::tcp::endpoint any(
+        boost::asio::ip::address_v4::loopback(), 0);
+    m_acceptor.open(any.protocol());
+    m_acceptor.bind(any);
+    m_acceptor.listen(0);
+    m_filler.connect(m_acceptor.local_endpoint());
+  }
+  /** Makes room for one connection. */
+  void MakeRoom() { m_acceptor.accept(m_accepted); }
+  [[nodiscard]] std::string Address() const {
+    return AddressText(m_acceptor.local_endpoint());
+  }
+
+ private:
+  boost::asio::io_context m_context;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::ip::tcp::socket m_filler;
+  boost::asio::ip::tcp::socket m_accepted;
+};
+
+/** Writes the heartbeat of an owner at the address until it goes away. */
+class Beater {
+ public:
+  Beater(standin::RowStore& aStore, const std::string& aAddress)
+      : m_thread([this, &aStore, aAddress] {
+          constexpr uint64_t kTerm = 2;
+          for (uint64_t sequence = 1; !m_stopped; ++sequence) {
+            WriteHeartbeat(aStore, aAddress, kTerm, sequence);
+            std::this_thread::sleep_for(milliseconds(200));
+          }
+        }) {}
+  ~Beater() {
+    m_stopped = true;
+    m_thread.join();
+  }
+  Beater(const Beater&) = delete;
+  Beater& operator=(const Beater&) = delete;
+
+ private:
+  std::atomic<bool> m_stopped = false;
+  std::thread m_thread;
+};
+
 struct EntryCallsFixture : NodeFixture {
+  /** Submits a job to an owner that takes no connections, again and again until
+   *  the node has tried to connect: before that it knows no owner and refuses
+   *  at once. @param aAfter called some time after each call has begun.
+   *  @return the last reply. */
+  HttpReply SubmitToSilentOwner(const RunningNode& aNode, TimePoint& aBegunAt,
+                                Duration aTime,
+                                const std::function<void()>& aAfter) {
+    HttpReply reply;
+    BOOST_REQUIRE(Eventually([&] {
+      aBegunAt = BootNow();
+      auto pending = std::async(std::launch::async, [&] {
+        return Submit(aNode, "00000000000000a2");
+      });
+      const bool waits = pending.wait_for(aTime) != std::future_status::ready;
+      if (waits) aAfter();
+      reply = pending.get();
+      return waits;
+    }));
+    return reply;
+  }
+
   /** Submits a job again and again until it has been passed to the owner: the
    *  node refuses calls until it has read its configuration. @return the last
    *  reply. */
@@ -158,6 +238,95 @@
   unanswered.clear();
 }
 
+/** Guards against 503, "never runs", for a job that a second copy of the call
+ *  stores: the first copy cannot connect until the caller's time is over, while
+ *  the second one has been read but not answered (review/11). */
+BOOST_AUTO_TEST_CASE(CopyThatCannotConnectDoesNotSettleTheSecond) {
+  FullListener owner;
+  const Beater beater(m_store, owner.Address());
+  RunningNode& node = AddNode("n1");
+  TimePoint begunAt;
+  // The second copy connects at 1.3 s and takes the room; the first one tries
+  // again at whole seconds.
+  const HttpReply reply = SubmitToSilentOwner(node, begunAt, milliseconds(1150),
+                                              [&] { owner.MakeRoom(); });
+  BOOST_TEST(reply.m_status == 504);
+  BOOST_TEST((BootNow() - begunAt < milliseconds(3000)));
+  m_nodes.clear();
+}
+
+/** Guards against an unknown outcome where no copy was sent, which would leave
+ *  callers without a time to come back. */
+BOOST_AUTO_TEST_CASE(CopiesThatCannotConnectAreRefused) {
+  FullListener owner;
+  const Beater beater(m_store, owner.Address());
+  RunningNode& node = AddNode("n1");
+  TimePoint begunAt;
+  const HttpReply reply =
+      SubmitToSilentOwner(node, begunAt, milliseconds(1500), [] {});
+  BOOST_TEST(reply.m_status == 503);
+  BOOST_TEST(!reply.Header("Retry-After").empty());
+  BOOST_TEST((BootNow() - begunAt < milliseconds(3000)));
+  m_nodes.clear();
+}
+
+namespace {
+
+/** Answers the first call with a refusal once the second one has come; keeps
+ *  the second and all later ones. */
+class OwnerThatRefusesTheFirst {
+ public:
+  void operator()(const std::shared_ptr<HttpResponder>& aResponder) {
+    m_calls.push_back(aResponder);
+    if (m_calls.size() == 2) Refuse(m_calls.front(), ErrorKind::NotReady);
+  }
+  std::vector<std::shared_ptr<HttpResponder>> m_calls;
+};
+
+}  // namespace
+
+/** Guards against 503, "never runs", for a job that a second copy of the call
+ *  stores: the owner refused the first copy, as it was behind, and has read the
+ *  second one but not answered it. */
+BOOST_AUTO_TEST_CASE(RefusalOfTheFirstCopyDoesNotSettleTheSecond) {
+  Counters counters;
+  OwnerThatRefusesTheFirst script;
+  PlayedOwner owner(m_platformThreads, counters,
+                    [&](const auto& aResponder) { script(aResponder); });
+  RunningNode& node = AddNode("n1");
+  constexpr uint64_t kTerm = 2;
+  const Beater beater(m_store, owner.Address());
+  const HttpReply reply = SubmitTo(owner, kTerm, node);
+  BOOST_TEST(reply.m_status == 504);
+  BOOST_TEST(owner.Calls() >= 2);
+  m_nodes.clear();
+  script.m_calls.clear();
+}
+
+/** Guards against an answer of a copy that comes after the refusal of another
+ *  one and is ignored: the job is accepted, and its caller would not know. */
+BOOST_AUTO_TEST_CASE(LateAnswerOfTheSecondCopyCounts) {
+  Counters counters;
+  OwnerThatRefusesTheFirst script;
+  std::thread late;
+  PlayedOwner owner(m_platformThreads, counters, [&](const auto& aResponder) {
+    script(aResponder);
+    if (script.m_calls.size() != 2) return;
+    late = std::thread([second = script.m_calls.back()] {
+      std::this_thread::sleep_for(milliseconds(400));
+      Answer(second, PeerAnswer());
+    });
+  });
+  RunningNode& node = AddNode("n1");
+  constexpr uint64_t kTerm = 2;
+  const Beater beater(m_store, owner.Address());
+  const HttpReply reply = SubmitTo(owner, kTerm, node);
+  BOOST_TEST(reply.m_status == 200);
+  if (late.joinable()) late.join();
+  m_nodes.clear();
+  script.m_calls.clear();
+}
+
 /** Guards against an owner of an earlier build, which cannot read a request for
  *  its cell, that is asked again and again. */
 BOOST_AUTO_TEST_CASE(OwnerOfAnEarlierBuildIsAskedRarely) {
