sched, scheduler: a rejected repetition proves nothing of an unanswered commit

Callers got 503, "never runs", for jobs that were stored and ran on the next owner (REFUSED).

CommitTries counts the tries in doubt: a try counts from before it is sent, and only its own answer takes it off. A commit is given up only without such tries. If a repetition is rejected while an earlier try is in doubt, a transaction that replaces only the owner row settles it: stored, it makes the condition of all earlier tries false for good; in conflict with the commit's sequence number, it shows that the commit is stored.

Ruled out: to go on repeating (a content that is never accepted would stop the cell), and to read the owner row (a try may be carried out after the read).

Related paths read: heartbeats (conflicts are compared by term), claims and the layout (the row is read whatever the outcome), withdrawal of jobs at a caller's deadline and in an outage (JobsInCommit holds while a commit is settled), the last heartbeat (decides nothing).

Tests: on, with the new fault of the stand-in store, RejectedRepetitionDoesNotRefuseAStoredJob fails (503, not 200), and passes now; RefusedJobIsNotStoredByALateTry passes on both and guards the other direction.

--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -27,6 +27,7 @@
 #include "core/metrics/histogram_type.h"
 #include "core/sched/admission_func.h"
 #include "core/sched/commit_cmd.h"
+#include "core/sched/commit_tries_func.h"
 #include "core/sched/handover_func.h"
 #include "core/sched/live_config_type.h"
 #include "platform/advice_client.h"
@@ -278,6 +279,19 @@
   void AddCommitRows();
   void SendCommit();
   void OnCommitted(TransactionResult aResult);
+  /** @return how a try of the commit ended. */
+  [[nodiscard]] sched::TryEnd TryEndOf(const TransactionResult& aResult) const;
+  /** Replaces the transaction, which the store does not accept any more, by one
+   *  that settles whether an earlier try of it was stored. */
+  void SettleCommit();
+  /** Nothing of the commit was written: gives its rows back and refuses the
+   *  calls that need not wait for another one. */
+  void GiveUpCommit(sched::TryEnd aEnd);
+  void NoteFailedTry(const TransactionResult& aResult);
+  void RepeatCommit();
+  /** The store has the owner row as last sent. */
+  void NoteOwnerRowStored(RowVersion aVersion);
+  void LogRejection();
   void FinishCommit(RowVersion aVersion);
   /** Nothing of the commit was written: its rows go into a later one. */
   void AbandonCommit();
@@ -337,7 +351,9 @@
   sched::Commit m_commit;          ///< Changes in m_transaction.
   StoreTransaction m_transaction;  ///< Of m_commit; repeated until settled.
   bool m_commitPending = false;
-  bool m_commitOutcomeUnknown = false;  ///< A try got no answer.
+  sched::CommitTries m_tries;  ///< Of m_commit.
+  /** Owner row of the commit that is being settled; empty: none is. */
+  std::optional<OwnerRow> m_doubtedRow;
   /** Of the last try of a commit. */
   sched::CommitFailure m_commitFailure = sched::CommitFailure::None;
   /** When the first failed try since the last success was sent. */
--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -4,7 +4,8 @@
  *
  * One transaction is in progress at a time. It is repeated unchanged until its
  * outcome is known. If a repetition fails with a conflict and the owner row has
- * the sequence number of this transaction, an earlier try has been stored.
+ * the sequence number of this transaction, an earlier try has been stored. What
+ * follows from the end of each try is decided in commit_tries_func.h.
  */
 
 #include <algorithm>
@@ -37,6 +38,22 @@
                      aKey.m_firstTask);
 }
 
+/** @return the owner row as a conflict shows it; null: it shows none. */
+const StoreRow* OwnerRowIn(const TransactionResult& aResult) {
+  for (const StoreRow& row : aResult.m_current) {
+    if (row.m_key.m_table == kOwnerTable) return &row;
+  }
+  return nullptr;
+}
+
+/** Whether both rows were written by the same transaction, of which an owner
+ *  may make several tries. */
+bool IsSameWrite(const OwnerRow& aStored, const OwnerRow& aSent) {
+  return aStored.m_vm == aSent.m_vm &&
+         aStored.m_incarnation == aSent.m_incarnation &&
+         aStored.m_sequence == aSent.m_sequence;
+}
+
 sched::CommitFailure FailureOf(const TransactionResult& aResult) {
   switch (aResult.m_outcome) {
     case StoreOutcome::Unknown:
@@ -76,7 +93,8 @@
   m_transaction = {};
   AddCommitRows();
   m_commitPending = true;
-  m_commitOutcomeUnknown = false;
+  m_tries = {};
+  m_doubtedRow.reset();
   m_commitTries = 0;
   m_commitBegunAt = now;
   SendCommit();
@@ -139,55 +157,88 @@
   const Duration first = sched::FirstTimeout(
       sched::ExpectedCommitTime(m_recentCommits), kFirstTimeout, kRetryTimeout);
   const Duration timeout = m_commitTries++ == 0 ? first : kRetryTimeout;
+  sched::BeginTry(m_tries);
   m_store.Transact(m_transaction, timeout,
                    [self = shared_from_this()](TransactionResult aResult) {
                      self->OnCommitted(std::move(aResult));
                    });
 }
 
+sched::TryEnd CellOwner::TryEndOf(const TransactionResult& aResult) const {
+  switch (aResult.m_outcome) {
+    case StoreOutcome::Done:
+      return sched::TryEnd::Stored;
+    case StoreOutcome::Refused:
+      return sched::TryEnd::Refused;
+    case StoreOutcome::Rejected:
+      return sched::TryEnd::Rejected;
+    case StoreOutcome::Unknown:
+    case StoreOutcome::Malformed:
+    case StoreOutcome::HistoryLost:
+      return sched::TryEnd::Unanswered;
+    case StoreOutcome::Conflict:
+      break;
+  }
+  const StoreRow* row = OwnerRowIn(aResult);
+  if (row == nullptr) return sched::TryEnd::OtherRow;
+  const auto owner = DecodeOwnerRow(row->m_value);
+  if (!owner) return sched::TryEnd::OtherRow;
+  if (IsSameWrite(owner.value(), m_ownerRow)) return sched::TryEnd::OwnRow;
+  const bool isDoubted =
+      m_doubtedRow && IsSameWrite(owner.value(), *m_doubtedRow);
+  return isDoubted ? sched::TryEnd::DoubtedRow : sched::TryEnd::OtherRow;
+}
+
 void CellOwner::OnCommitted(TransactionResult aResult) {
   if (m_ended) return;
-  if (aResult.m_outcome == StoreOutcome::Done) {
-    FinishCommit(aResult.m_version);
-    return;
+  const sched::TryEnd end = TryEndOf(aResult);
+  const sched::CommitStep step = sched::EndTry(m_tries, end);
+  if (end != sched::TryEnd::Stored) {
+    m_log.Write("[store]",
+                "commit not confirmed cell={} sequence={} status={} "
+                "in_doubt={} settles={} {}",
+                m_cellId.Value(), m_ownerRow.m_sequence, aResult.m_status,
+                m_tries.m_inDoubt, m_tries.m_settles,
+                OriginFields(aResult.m_origin));
   }
-  m_log.Write("[store]",
-              "commit not confirmed cell={} sequence={} status={} {}",
-              m_cellId.Value(), m_ownerRow.m_sequence, aResult.m_status,
-              OriginFields(aResult.m_origin));
-  if (aResult.m_outcome == StoreOutcome::Conflict) {
-    for (const StoreRow& row : aResult.m_current) {
-      if (row.m_key.m_table != kOwnerTable) continue;
-      const auto owner = DecodeOwnerRow(row.m_value);
-      if (owner && owner.value().m_vm == m_ownerRow.m_vm &&
-          owner.value().m_incarnation == m_ownerRow.m_incarnation &&
-          owner.value().m_sequence == m_ownerRow.m_sequence) {
-        FinishCommit(row.m_version);
-        return;
-      }
-    }
-    LoseCell("another daemon has rewritten the owner row");
-    return;
+  const StoreRow* found = OwnerRowIn(aResult);
+  const RowVersion version = end == sched::TryEnd::Stored || found == nullptr
+                                 ? aResult.m_version
+                                 : found->m_version;
+  const bool isFailure = end == sched::TryEnd::Refused ||
+                        end == sched::TryEnd::Rejected ||
+                        end == sched::TryEnd::Unanswered;
+  if (isFailure) NoteFailedTry(aResult);
+  switch (step) {
+    case sched::CommitStep::Stored:
+      if (m_doubtedRow) m_ownerRow = *m_doubtedRow;
+      FinishCommit(version);
+      return;
+    case sched::CommitStep::Lost:
+      LoseCell("another daemon has rewritten the owner row");
+      return;
+    case sched::CommitStep::NotStored:
+      if (m_tries.m_settles) NoteOwnerRowStored(version);
+      GiveUpCommit(end);
+      return;
+    case sched::CommitStep::Settle:
+      SettleCommit();
+      [[fallthrough]];
+    case sched::CommitStep::Repeat:
+      RefuseUnstoredIfAway(BootNow());
+      RepeatCommit();
+      return;
   }
+}
+
+void CellOwner::NoteFailedTry(const TransactionResult& aResult) {
   if (m_commitFailure == sched::CommitFailure::None) {
     m_commitFailingSince = m_commitSentAt;
   }
   m_commitFailure = FailureOf(aResult);
-  // The store judges the content of each try alike, so a rejection tells that
-  // the unanswered tries before it have written nothing either.
-  if (aResult.m_outcome == StoreOutcome::Rejected) {
-    AbandonCommit();
-    RefuseUnstored();
-    NarrowCommits();
-    return;
-  }
-  if (aResult.m_outcome == StoreOutcome::Refused && !m_commitOutcomeUnknown) {
-    AbandonCommit();
-    RefuseUnstoredIfAway(BootNow());
-    return;
-  }
-  if (aResult.m_outcome != StoreOutcome::Refused) m_commitOutcomeUnknown = true;
-  RefuseUnstoredIfAway(BootNow());
+}
+
+void CellOwner::RepeatCommit() {
   m_commitTimer.expires_after(m_commitTries == 1 ? Duration(1) : kRetryPause);
   m_commitTimer.async_wait(
       [self = shared_from_this()](boost::system::error_code aError) {
@@ -195,6 +246,31 @@
       });
 }
 
+void CellOwner::SettleCommit() {
+  LogRejection();
+  m_doubtedRow = m_ownerRow;
+  ++m_ownerRow.m_sequence;
+  // A release in doubt is settled by a row that still has this owner.
+  m_ownerRow.m_vm = m_vm;
+  m_ownerRow.m_successor.clear();
+  const RowKey ownerKey{kOwnerTable, m_part, kOwnerKey};
+  m_transaction = {};
+  m_transaction.m_expected.push_back({ownerKey, m_ownerVersion});
+  m_transaction.m_puts.push_back({ownerKey, EncodeOwnerRow(m_ownerRow), {}});
+}
+
+void CellOwner::GiveUpCommit(sched::TryEnd aEnd) {
+  const bool isRejected = aEnd == sched::TryEnd::Rejected || m_tries.m_settles;
+  if (aEnd == sched::TryEnd::Rejected) LogRejection();
+  AbandonCommit();
+  if (!isRejected) {
+    RefuseUnstoredIfAway(BootNow());
+    return;
+  }
+  RefuseUnstored();
+  NarrowCommits();
+}
+
 void CellOwner::AbandonCommit() {
   sched::ReturnCommit(m_cell, m_commit);
   m_commitPending = false;
@@ -206,7 +282,7 @@
   m_commitNotBefore = BootNow() + kRetryPause;
 }
 
-void CellOwner::NarrowCommits() {
+void CellOwner::LogRejection() {
   ++m_rejectedCommits;
   m_log.Write("[store]",
               "commit rejected for its content cell={} sequence={} rows={} "
@@ -214,6 +290,9 @@
               m_cellId.Value(), m_ownerRow.m_sequence,
               m_transaction.m_puts.size() + m_transaction.m_removes.size(),
               m_commitRows);
+}
+
+void CellOwner::NarrowCommits() {
   if (m_commitRows > kMinRowsPerCommit) {
     m_commitRows = std::max(m_commitRows / 2, kMinRowsPerCommit);
     return;
@@ -225,11 +304,16 @@
   }
 }
 
+void CellOwner::NoteOwnerRowStored(RowVersion aVersion) {
+  m_ownerVersion = aVersion;
+  m_lastCommitSentAt = m_commitSentAt;
+  m_cell.m_newestFence = FencingToken(aVersion.Value());
+}
+
 void CellOwner::FinishCommit(RowVersion aVersion) {
   m_commitPending = false;
   m_commitRows = std::min(m_commitRows * 2, kMaxRowsPerCommit);
-  m_ownerVersion = aVersion;
-  m_lastCommitSentAt = m_commitSentAt;
+  NoteOwnerRowStored(aVersion);
   const TimePoint now = BootNow();
   Record(m_commitTimes, now - m_commitBegunAt);
   // Only the last try tells how quickly the store answers now.
@@ -239,7 +323,6 @@
                 m_cellId.Value(), m_commitTries);
   }
   m_commitFailure = sched::CommitFailure::None;
-  m_cell.m_newestFence = FencingToken(aVersion.Value());
   sched::ApplyCommitted(m_cell, m_commit, now);
   AnswerWaiters();
   if (m_ownerRow.m_vm.empty()) {
--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -162,6 +162,7 @@
   }
   const std::string path = aCall.m_target.substr(0, aCall.m_target.find('?'));
   if (path == "/bronzeworks/rows-tx") {
+    if (LoseTransaction(aThread, aCall, aResponder)) return;
     HttpReply reply = Transact(aCall);
     if (loses) {
       aResponder->Abort();
@@ -253,6 +254,40 @@
   return JsonReply(200, {{"ver", m_version}, {"now_ms", NowMillis()}});
 }
 
+bool RowStore::LoseTransaction(
+    size_t aThread, const HttpCall& aCall,
+    const std::shared_ptr<HttpResponder>& aResponder) {
+  Duration delay{};
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const Json body = Json::parse(aCall.m_body, nullptr, false);
+    if (m_faults.m_lostKey.empty() || !body.is_object()) return false;
+    const Json puts = body.value("put", Json::array());
+    const bool holdsKey =
+        std::any_of(puts.begin(), puts.end(), [this](const Json& aRow) {
+          return aRow.at("key") == m_faults.m_lostKey;
+        });
+    if (!holdsKey) return false;
+    if (m_lostFirst) {
+      aResponder->Reply(JsonReply(403, Json::object()));
+      return true;
+    }
+    m_lostFirst = true;
+    delay = m_faults.m_lostDelay;
+  }
+  aResponder->Abort();
+  if (delay == Duration(0)) {
+    Transact(aCall);
+    return true;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      m_threads.Context(aThread), delay);
+  timer->async_wait([this, timer, aCall](boost::system::error_code aError) {
+    if (!aError) Transact(aCall);
+  });
+  return true;
+}
+
 void RowStore::ReplyToTransaction(
     size_t aThread, HttpReply aReply,
     const std::shared_ptr<HttpResponder>& aResponder) {
--- a/src/standin/row_store.h
+++ b/src/standin/row_store.h
@@ -51,6 +51,10 @@
   Duration m_commitDelay{};  ///< From a transaction to its answer.
   /** Answers transactions that put a row with this key with 400. */
   std::string m_rejectedKey;
+  /** Leaves the first transaction that puts a row with this key unanswered, and
+   *  answers its repetitions with 403. */
+  std::string m_lostKey;
+  Duration m_lostDelay{};  ///< Until that first one is carried out.
   /** Answers reads of this table, and waits for its changes, with 503. */
   std::string m_unreadableTable;
 };
@@ -116,6 +120,9 @@
    *  whatever its rows contain; 0: it does. */
   [[nodiscard]] int RefusalOf(const HttpCall& aCall,
                               const nlohmann::json& aBody) const;
+  /** Handles a transaction with a row of m_lostKey. @return whether it did. */
+  bool LoseTransaction(size_t aThread, const HttpCall& aCall,
+                       const std::shared_ptr<HttpResponder>& aResponder);
   /** Answers a transaction, with the faults of such answers. */
   void ReplyToTransaction(size_t aThread, HttpReply aReply,
                           const std::shared_ptr<HttpResponder>& aResponder);
@@ -141,6 +148,7 @@
   uint64_t m_invalidTransactions = 0;
   RowStoreFaults m_faults;
   uint64_t m_calls = 0;
+  bool m_lostFirst = false;         ///< The first one of m_lostKey has come.
   uint64_t m_callsWhileLosing = 0;  ///< Calls while m_losesAnswers is set.
   uint64_t m_transactionsWhileGateway = 0;  ///< While m_gatewayStatus is set.
 };
--- a/tests/scheduler/scheduler_store_test.cpp
+++ b/tests/scheduler/scheduler_store_test.cpp
@@ -402,6 +402,42 @@
   BOOST_TEST(m_runners[0]->Starts().size() == before);
 }
 
+/** Guards against 503, "never runs", for a job that is stored: its commit got
+ *  no answer, and the store rejected the repetition, which was taken for a
+ *  proof about the first try. */
+BOOST_AUTO_TEST_CASE(RejectedRepetitionDoesNotRefuseAStoredJob) {
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, "00000000000000b1"));
+  RowStoreFaults faults;
+  faults.m_lostKey = "00000000000000b2";
+  m_store.SetFaults(faults);
+  BOOST_TEST(Submit(node, "00000000000000b2").m_status == 200);
+  m_store.SetFaults({});
+  BOOST_TEST(BecomesCompleted(node, "00000000000000b2"));
+}
+
+/** Guards against 503, "never runs", for a job that is stored later: the try
+ *  without an answer was still on its way. */
+BOOST_AUTO_TEST_CASE(RefusedJobIsNotStoredByALateTry) {
+  RunningNode& node = AddNode("n1");
+  BOOST_REQUIRE(SubmitUntilAccepted(node, "00000000000000b1"));
+  BOOST_REQUIRE(BecomesCompleted(node, "00000000000000b1"));
+  RowStoreFaults faults;
+  faults.m_lostKey = "00000000000000b2";
+  faults.m_lostDelay = seconds(1);
+  m_store.SetFaults(faults);
+  BOOST_TEST(Submit(node, "00000000000000b2").m_status == 503);
+  std::this_thread::sleep_for(faults.m_lostDelay + milliseconds(500));
+  BOOST_TEST(m_store.Value("job", "c0", "00000000000000b2").empty());
+  m_store.SetFaults({});
+  // The cell goes on with the same owner.
+  BOOST_TEST(SubmitUntilAccepted(node, "00000000000000b3"));
+  BOOST_TEST(BecomesCompleted(node, "00000000000000b3"));
+  for (const auto& [task, count] : Starts()) {
+    BOOST_TEST(task.compare(0, 16, "00000000000000b2") != 0);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bronze
