--- a/src/scheduler/cell_owner_commit.cpp
+++ b/src/scheduler/cell_owner_commit.cpp
@@ -206,8 +206,8 @@
                                  ? aResult.m_version
                                  : found->m_version;
   const bool isFailure = end == sched::TryEnd::Refused ||
-                        end == sched::TryEnd::Rejected ||
-                        end == sched::TryEnd::Unanswered;
+                         end == sched::TryEnd::Rejected ||
+                         end == sched::TryEnd::Unanswered;
   if (isFailure) NoteFailedTry(aResult);
   switch (step) {
     case sched::CommitStep::Stored:
